Add the design page, the build, result codes and the HTTP layer

Cause: the repository is empty; every other module needs the result codes, the configuration types, an HTTP server and client and the platform client. Ruled out: java.net.http for outgoing calls (the house style asks for Grizzly's HTTP); reuse of connections for POST (a connection that the server closed meanwhile looks like a request that was sent). Before: a caller's disconnect was not noticed while its request was suspended, because Grizzly stops reading; the test timed out after 5 s.

--- /dev/null
+++ b/client/src/main/java/io/hornbeamfield/client/package-info.java
@@ -0,0 +1,5 @@
+/** Caller library. */
+@NullMarked
+package io.hornbeamfield.client;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/io/hornbeamfield/core/budget/package-info.java
@@ -0,0 +1,5 @@
+/** Budgets, holder entries and allotments. */
+@NullMarked
+package io.hornbeamfield.core.budget;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/io/hornbeamfield/core/routing/package-info.java
@@ -0,0 +1,5 @@
+/** Choice of routers and backend servers. */
+@NullMarked
+package io.hornbeamfield.core.routing;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/ctl/src/main/java/io/hornbeamfield/ctl/package-info.java
@@ -0,0 +1,5 @@
+/** The operators' command line. */
+@NullMarked
+package io.hornbeamfield.ctl;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/net/src/main/java/io/hornbeamfield/net/http/HttpCall.java
@@ -0,0 +1,101 @@
+package io.hornbeamfield.net.http;
+
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * An outgoing HTTP request.
+ *
+ * <pre>{@code
+ * HttpCall call = HttpCall.post("http://127.0.0.1:8080/v1/chat/completions")
+ *         .header("X-Request-Id", id)
+ *         .json(body)
+ *         .timeout(Duration.ofSeconds(5))
+ *         .build();
+ * }</pre>
+ *
+ * <p>The timeout bounds the time to the response head and, for whole replies, to the end of the body.
+ */
+public record HttpCall(String method, URI uri, Map<String, String> headers, byte[] body, Duration timeout) {
+    private static final Duration DEFAULT_TIMEOUT = Duration.ofSeconds(10);
+
+    /** Starts a GET request. */
+    public static Builder get(String uri) {
+        return new Builder("GET", uri);
+    }
+
+    /** Starts a POST request. */
+    public static Builder post(String uri) {
+        return new Builder("POST", uri);
+    }
+
+    /** Starts a PUT request. */
+    public static Builder put(String uri) {
+        return new Builder("PUT", uri);
+    }
+
+    /** Starts a DELETE request. */
+    public static Builder delete(String uri) {
+        return new Builder("DELETE", uri);
+    }
+
+    /** Starts a request with any method. */
+    public static Builder of(String method, String uri) {
+        return new Builder(method, uri);
+    }
+
+    /** Builds an {@link HttpCall}. */
+    public static final class Builder {
+        private final String method;
+        private final URI uri;
+        private final Map<String, String> headers = new LinkedHashMap<>();
+        private byte[] body = new byte[0];
+        private Duration timeout = DEFAULT_TIMEOUT;
+
+        private Builder(String method, String uri) {
+            this.method = method;
+            this.uri = URI.create(uri);
+        }
+
+        /** Sets a header. */
+        public Builder header(String name, String value) {
+            headers.put(name, value);
+            return this;
+        }
+
+        /** Sets the Authorization header to a bearer token. */
+        public Builder bearer(String token) {
+            return header("Authorization", "Bearer " + token);
+        }
+
+        /** Sets a JSON body. */
+        public Builder json(String json) {
+            return json(json.getBytes(StandardCharsets.UTF_8));
+        }
+
+        /** Sets a JSON body. */
+        public Builder json(byte[] json) {
+            return header("Content-Type", "application/json").body(json);
+        }
+
+        /** Sets the body. */
+        public Builder body(byte[] bytes) {
+            this.body = bytes;
+            return this;
+        }
+
+        /** Sets the timeout. */
+        public Builder timeout(Duration limit) {
+            this.timeout = limit;
+            return this;
+        }
+
+        /** Returns the finished request. */
+        public HttpCall build() {
+            return new HttpCall(method, uri, Map.copyOf(headers), body, timeout);
+        }
+    }
+}
--- /dev/null
+++ b/net/src/main/java/io/hornbeamfield/net/http/HttpServer.java
@@ -0,0 +1,86 @@
+package io.hornbeamfield.net.http;
+
+import io.hornbeamfield.net.http.internal.GrizzlyHttpServer;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * HTTP/1.1 server. A route matches a method (or {@code *}) and a path; a path that ends with {@code /*} matches every
+ * path below it. The first matching route wins.
+ *
+ * <pre>{@code
+ * HttpServer server = HttpServer.builder()
+ *         .address("127.0.0.1:8080")
+ *         .route("GET", "/health", x -> x.replyJson(200, "{}".getBytes(UTF_8)))
+ *         .start();
+ * }</pre>
+ */
+public interface HttpServer extends AutoCloseable {
+    /** Largest accepted request body. */
+    int MAX_BODY_BYTES = 4 * 1024 * 1024;
+
+    /** Starts a builder. */
+    static Builder builder() {
+        return new Builder();
+    }
+
+    /** Returns the bound port. */
+    int port();
+
+    @Override
+    void close();
+
+    /** A method and path with their handler. */
+    record Route(String method, String path, HttpHandler handler) {
+        /** Returns whether this route handles the given request line. */
+        public boolean matches(String requestMethod, String requestPath) {
+            boolean methodMatches = method.equals("*") || method.equals(requestMethod);
+            return methodMatches && matchesPath(requestPath);
+        }
+
+        private boolean matchesPath(String requestPath) {
+            return path.endsWith("/*")
+                    ? requestPath.startsWith(path.substring(0, path.length() - 1))
+                    : path.equals(requestPath);
+        }
+    }
+
+    /** Builds an {@link HttpServer}. */
+    final class Builder {
+        private String address = "127.0.0.1:0";
+        private String name = "http";
+        private int workerThreads = 8;
+        private final List<Route> routes = new ArrayList<>();
+
+        private Builder() {}
+
+        /** Sets the address to listen on, {@code ip:port}; port 0 picks a free one. */
+        public Builder address(String ipAndPort) {
+            this.address = ipAndPort;
+            return this;
+        }
+
+        /** Sets the name of the server's threads. */
+        public Builder name(String threadName) {
+            this.name = threadName;
+            return this;
+        }
+
+        /** Sets the number of threads that run handlers. */
+        public Builder workerThreads(int count) {
+            this.workerThreads = count;
+            return this;
+        }
+
+        /** Adds a route. */
+        public Builder route(String method, String path, HttpHandler handler) {
+            routes.add(new Route(method, path, handler));
+            return this;
+        }
+
+        /** Binds the address and starts serving. */
+        public HttpServer start() {
+            return GrizzlyHttpServer.start(address, name, workerThreads, List.copyOf(routes));
+        }
+    }
+}
--- /dev/null
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/CollectingListener.java
@@ -0,0 +1,41 @@
+package io.hornbeamfield.net.http.internal;
+
+import io.hornbeamfield.net.http.CallFailure;
+import io.hornbeamfield.net.http.HttpReply;
+import io.hornbeamfield.net.http.StreamListener;
+import java.io.ByteArrayOutputStream;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+/** Collects a streamed response into a whole one. */
+final class CollectingListener implements StreamListener {
+    private final CompletableFuture<HttpReply> future;
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private int status;
+    private Map<String, String> headers = Map.of();
+
+    CollectingListener(CompletableFuture<HttpReply> future) {
+        this.future = future;
+    }
+
+    @Override
+    public void onHead(int code, Map<String, String> fields) {
+        status = code;
+        headers = fields;
+    }
+
+    @Override
+    public void onData(byte[] chunk) {
+        body.writeBytes(chunk);
+    }
+
+    @Override
+    public void onEnd() {
+        future.complete(new HttpReply(status, headers, body.toByteArray()));
+    }
+
+    @Override
+    public void onFailure(CallFailure failure) {
+        future.completeExceptionally(failure);
+    }
+}
--- /dev/null
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/Exchange.java
@@ -0,0 +1,156 @@
+package io.hornbeamfield.net.http.internal;
+
+import io.hornbeamfield.net.http.CallFailure;
+import io.hornbeamfield.net.http.HttpCall;
+import io.hornbeamfield.net.http.StreamListener;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.CloseListener;
+import org.glassfish.grizzly.Closeable;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.ICloseType;
+import org.glassfish.grizzly.attributes.Attribute;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.memory.Buffers;
+import org.jspecify.annotations.Nullable;
+
+/** One request on one connection. */
+final class Exchange implements CloseListener<Closeable, ICloseType> {
+    static final Attribute<Exchange> CURRENT =
+            Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("hornbeamfield-exchange");
+
+    private final HttpCall call;
+    private final StreamListener listener;
+    private final ConnectionCache connections;
+    private @Nullable Connection<?> connection;
+    private boolean headArrived;
+    private boolean done;
+
+    Exchange(HttpCall call, StreamListener listener, ConnectionCache connections) {
+        this.call = call;
+        this.listener = listener;
+        this.connections = connections;
+    }
+
+    InetSocketAddress address() {
+        return new InetSocketAddress(call.uri().getHost(), call.uri().getPort());
+    }
+
+    /**
+     * A reused connection may have been closed by the server, and the failure would look as if the request had been
+     * sent. Only reads may take that risk.
+     */
+    boolean mayReuseConnection() {
+        return !call.method().equals("POST");
+    }
+
+    void sendOn(Connection<?> c) {
+        synchronized (this) {
+            if (done) {
+                c.closeSilently();
+                return;
+            }
+            connection = c;
+        }
+        CURRENT.set(c, this);
+        c.addCloseListener(this);
+        c.write(packet());
+    }
+
+    private HttpContent packet() {
+        String query = call.uri().getRawQuery();
+        HttpRequestPacket.Builder head = HttpRequestPacket.builder()
+                .method(call.method())
+                .uri(call.uri().getRawPath() + (query == null ? "" : "?" + query))
+                .protocol("HTTP/1.1")
+                .header("Host", call.uri().getAuthority())
+                .contentLength(call.body().length);
+        call.headers().forEach(head::header);
+        Buffer body = Buffers.wrap(null, call.body());
+        return HttpContent.builder(head.build()).content(body).last(true).build();
+    }
+
+    synchronized void head(int status, Map<String, String> headers) {
+        if (!done && !headArrived) {
+            headArrived = true;
+            listener.onHead(status, headers);
+        }
+    }
+
+    synchronized void data(byte[] chunk) {
+        if (!done) {
+            listener.onData(chunk);
+        }
+    }
+
+    void end(boolean keepAlive) {
+        Connection<?> c;
+        synchronized (this) {
+            if (done) {
+                return;
+            }
+            done = true;
+            c = connection;
+        }
+        if (c != null) {
+            detach(c, keepAlive);
+        }
+        listener.onEnd();
+    }
+
+    private void detach(Connection<?> c, boolean keepAlive) {
+        CURRENT.remove(c);
+        c.removeCloseListener(this);
+        if (keepAlive) {
+            connections.release(address(), c);
+        } else {
+            c.closeSilently();
+        }
+    }
+
+    void fail(CallFailure failure) {
+        if (close()) {
+            listener.onFailure(failure);
+        }
+    }
+
+    synchronized boolean headArrived() {
+        return headArrived;
+    }
+
+    void failUnlessHeadArrived(CallFailure failure) {
+        if (!headArrived()) {
+            fail(failure);
+        }
+    }
+
+    void cancel() {
+        close();
+    }
+
+    private boolean close() {
+        Connection<?> c;
+        synchronized (this) {
+            if (done) {
+                return false;
+            }
+            done = true;
+            c = connection;
+        }
+        if (c != null) {
+            c.removeCloseListener(this);
+            c.terminateSilently();
+        }
+        return true;
+    }
+
+    @Override
+    public void onClosed(Closeable closeable, ICloseType type) {
+        fail(new CallFailure(
+                CallFailure.Kind.BROKEN,
+                "The connection to " + call.uri().getAuthority() + " closed before the response was complete."));
+    }
+}
--- /dev/null
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/GrizzlyExchange.java
@@ -0,0 +1,132 @@
+package io.hornbeamfield.net.http.internal;
+
+import io.hornbeamfield.net.http.HttpExchange;
+import io.hornbeamfield.net.http.HttpServer;
+import io.hornbeamfield.net.http.ResponseStream;
+import java.io.IOException;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.glassfish.grizzly.CloseListener;
+import org.glassfish.grizzly.Closeable;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.ICloseType;
+import org.glassfish.grizzly.IOEvent;
+import org.glassfish.grizzly.http.server.Request;
+import org.glassfish.grizzly.http.server.Response;
+import org.glassfish.grizzly.nio.NIOConnection;
+
+/** Adapts a suspended Grizzly request and response. */
+final class GrizzlyExchange implements HttpExchange {
+    private final Request request;
+    private final Response response;
+    private final byte[] body;
+    private final String method;
+    private final String path;
+    private final AtomicBoolean answered = new AtomicBoolean();
+    private final AtomicBoolean complete = new AtomicBoolean();
+
+    GrizzlyExchange(Request request, Response response, byte[] body) {
+        this.request = request;
+        this.response = response;
+        this.body = body;
+        this.method = request.getMethod().getMethodString();
+        this.path = request.getRequestURI();
+    }
+
+    boolean bodyTooLarge() {
+        return body.length > HttpServer.MAX_BODY_BYTES;
+    }
+
+    @Override
+    public String method() {
+        return method;
+    }
+
+    @Override
+    public String path() {
+        return path;
+    }
+
+    @Override
+    public Optional<String> query(String name) {
+        return Optional.ofNullable(request.getParameter(name));
+    }
+
+    @Override
+    public Optional<String> header(String name) {
+        return Optional.ofNullable(request.getHeader(name));
+    }
+
+    @Override
+    public byte[] body() {
+        return body;
+    }
+
+    @Override
+    public void reply(int status, Map<String, String> headers, byte[] bytes) {
+        if (!answered.compareAndSet(false, true)) {
+            return;
+        }
+        setHead(status, headers);
+        response.setContentLength(bytes.length);
+        try {
+            response.getOutputStream().write(bytes);
+        } catch (IOException e) {
+            // The caller is gone; resuming releases the request.
+        }
+        finish();
+    }
+
+    @Override
+    public ResponseStream startStream(int status, Map<String, String> headers) {
+        if (!answered.compareAndSet(false, true)) {
+            throw new IllegalStateException("The request has been answered already.");
+        }
+        setHead(status, headers);
+        return new GrizzlyResponseStream(request.getConnection(), response, this::finish);
+    }
+
+    @Override
+    public void onDisconnect(Runnable action) {
+        Connection<?> connection = request.getConnection();
+        connection.addCloseListener(new CloseListener<Closeable, ICloseType>() {
+            @Override
+            public void onClosed(Closeable closeable, ICloseType type) {
+                if (!complete.get()) {
+                    action.run();
+                }
+            }
+        });
+        watchForClose(connection);
+    }
+
+    /**
+     * Grizzly stops reading from a connection while its request is suspended, so that a close by the caller would not
+     * be seen.
+     */
+    private static void watchForClose(Connection<?> connection) {
+        try {
+            ((NIOConnection) connection).enableIOEvent(IOEvent.READ);
+        } catch (IOException e) {
+            connection.closeSilently();
+        }
+    }
+
+    private void setHead(int status, Map<String, String> headers) {
+        response.setStatus(status);
+        headers.forEach((name, value) -> {
+            if (name.equalsIgnoreCase("Content-Type")) {
+                response.setContentType(value);
+            } else {
+                response.setHeader(name, value);
+            }
+        });
+    }
+
+    private void finish() {
+        if (complete.compareAndSet(false, true) && response.isSuspended()) {
+            response.resume();
+        }
+    }
+}
--- /dev/null
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/GrizzlyHttpClient.java
@@ -0,0 +1,101 @@
+package io.hornbeamfield.net.http.internal;
+
+import io.hornbeamfield.net.http.CallFailure;
+import io.hornbeamfield.net.http.HttpCall;
+import io.hornbeamfield.net.http.HttpClient;
+import io.hornbeamfield.net.http.HttpReply;
+import io.hornbeamfield.net.http.OpenStream;
+import io.hornbeamfield.net.http.StreamListener;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.http.HttpClientFilter;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+
+/** HTTP client over Grizzly's HTTP codec filters. */
+public final class GrizzlyHttpClient implements HttpClient {
+    private final TCPNIOTransport transport;
+    private final ScheduledExecutorService timer;
+    private final ConnectionCache connections;
+
+    private GrizzlyHttpClient(TCPNIOTransport transport, ScheduledExecutorService timer) {
+        this.transport = transport;
+        this.timer = timer;
+        this.connections = new ConnectionCache(transport);
+    }
+
+    /** Starts a client. */
+    public static HttpClient start(String name) {
+        TCPNIOTransport transport = TCPNIOTransportBuilder.newInstance()
+                .setName(name + "-http-client")
+                .setIOStrategy(SameThreadIOStrategy.getInstance())
+                .setSelectorRunnersCount(2)
+                .setTcpNoDelay(true)
+                .build();
+        transport.setProcessor(FilterChainBuilder.stateless()
+                .add(new TransportFilter())
+                .add(new HttpClientFilter())
+                .add(new ResponseFilter())
+                .build());
+        try {
+            transport.start();
+        } catch (IOException e) {
+            throw new UncheckedIOException("Cannot start the HTTP client.", e);
+        }
+        ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(r -> {
+            Thread t = new Thread(r, name + "-http-timeout");
+            t.setDaemon(true);
+            return t;
+        });
+        return new GrizzlyHttpClient(transport, timer);
+    }
+
+    @Override
+    public CompletableFuture<HttpReply> send(HttpCall call) {
+        CompletableFuture<HttpReply> future = new CompletableFuture<>();
+        Exchange exchange = begin(call, new CollectingListener(future));
+        var limit = timer.schedule(
+                () -> exchange.fail(timedOut(call)), call.timeout().toMillis(), TimeUnit.MILLISECONDS);
+        return future.whenComplete((reply, failure) -> limit.cancel(false));
+    }
+
+    @Override
+    public OpenStream open(HttpCall call, StreamListener listener) {
+        Exchange exchange = begin(call, listener);
+        timer.schedule(
+                () -> exchange.failUnlessHeadArrived(timedOut(call)),
+                call.timeout().toMillis(),
+                TimeUnit.MILLISECONDS);
+        return exchange::cancel;
+    }
+
+    private Exchange begin(HttpCall call, StreamListener listener) {
+        Exchange exchange = new Exchange(call, listener, connections);
+        connections.acquire(exchange);
+        return exchange;
+    }
+
+    private static CallFailure timedOut(HttpCall call) {
+        return new CallFailure(
+                CallFailure.Kind.TIMED_OUT,
+                call.method() + " " + call.uri() + " got no answer within "
+                        + call.timeout().toMillis() + " ms.");
+    }
+
+    @Override
+    public void close() {
+        timer.shutdownNow();
+        try {
+            transport.shutdownNow();
+        } catch (IOException e) {
+            throw new UncheckedIOException("Cannot stop the HTTP client.", e);
+        }
+    }
+}
--- /dev/null
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/GrizzlyHttpServer.java
@@ -0,0 +1,101 @@
+package io.hornbeamfield.net.http.internal;
+
+import io.hornbeamfield.net.http.HttpServer;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.List;
+import org.glassfish.grizzly.http.server.HttpHandler;
+import org.glassfish.grizzly.http.server.NetworkListener;
+import org.glassfish.grizzly.http.server.Request;
+import org.glassfish.grizzly.http.server.Response;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
+
+/** Serves routes with Grizzly's HTTP server. */
+public final class GrizzlyHttpServer implements HttpServer {
+    private final org.glassfish.grizzly.http.server.HttpServer server;
+    private final NetworkListener listener;
+
+    private GrizzlyHttpServer(org.glassfish.grizzly.http.server.HttpServer server, NetworkListener listener) {
+        this.server = server;
+        this.listener = listener;
+    }
+
+    /** Binds the address and starts the server. */
+    public static HttpServer start(String address, String name, int workerThreads, List<Route> routes) {
+        int colon = address.lastIndexOf(':');
+        String host = address.substring(0, colon);
+        int port = Integer.parseInt(address.substring(colon + 1));
+        NetworkListener listener = new NetworkListener(name, host, port);
+        configureThreads(listener, name, workerThreads);
+        listener.setMaxFormPostSize(MAX_BODY_BYTES);
+        // Streams may be silent for longer than any fixed idle limit.
+        listener.getKeepAlive().setIdleTimeoutInSeconds(-1);
+        listener.getKeepAlive().setMaxRequestsCount(-1);
+        org.glassfish.grizzly.http.server.HttpServer server = new org.glassfish.grizzly.http.server.HttpServer();
+        server.addListener(listener);
+        server.getServerConfiguration().addHttpHandler(new Dispatcher(routes), "/");
+        server.getServerConfiguration().setAllowPayloadForUndefinedHttpMethods(true);
+        try {
+            server.start();
+        } catch (IOException e) {
+            throw new UncheckedIOException("Cannot listen on " + address + ". Check that the address is free.", e);
+        }
+        return new GrizzlyHttpServer(server, listener);
+    }
+
+    private static void configureThreads(NetworkListener listener, String name, int workerThreads) {
+        TCPNIOTransport transport = listener.getTransport();
+        transport.setSelectorRunnersCount(2);
+        transport.setWorkerThreadPoolConfig(ThreadPoolConfig.defaultConfig()
+                .setPoolName(name + "-worker")
+                .setCorePoolSize(workerThreads)
+                .setMaxPoolSize(workerThreads));
+    }
+
+    @Override
+    public int port() {
+        return listener.getPort();
+    }
+
+    @Override
+    public void close() {
+        server.shutdownNow();
+    }
+
+    private static final class Dispatcher extends HttpHandler {
+        private final List<Route> routes;
+
+        Dispatcher(List<Route> routes) {
+            this.routes = routes;
+        }
+
+        @Override
+        public void service(Request request, Response response) {
+            response.suspend();
+            BodyReader.read(request, body -> dispatch(new GrizzlyExchange(request, response, body)));
+        }
+
+        private void dispatch(GrizzlyExchange exchange) {
+            if (exchange.bodyTooLarge()) {
+                exchange.replyJson(413, Replies.error("The body is larger than " + MAX_BODY_BYTES + " bytes."));
+                return;
+            }
+            for (Route route : routes) {
+                if (route.matches(exchange.method(), exchange.path())) {
+                    handle(route, exchange);
+                    return;
+                }
+            }
+            exchange.replyJson(404, Replies.error("There is no " + exchange.method() + " " + exchange.path() + "."));
+        }
+
+        private static void handle(Route route, GrizzlyExchange exchange) {
+            try {
+                route.handler().handle(exchange);
+            } catch (RuntimeException e) {
+                exchange.replyJson(500, Replies.error("Internal error: " + e));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/package-info.java
@@ -0,0 +1,5 @@
+/** Grizzly adapters. */
+@NullMarked
+package io.hornbeamfield.net.http.internal;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/net/src/main/java/io/hornbeamfield/net/json/Json.java
@@ -0,0 +1,75 @@
+package io.hornbeamfield.net.json;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+
+/**
+ * JSON mapping shared by all modules. Unknown fields are errors.
+ *
+ * <pre>{@code
+ * byte[] bytes = Json.bytes(record);
+ * BudgetRecord record = Json.read(bytes, BudgetRecord.class);
+ * }</pre>
+ */
+public final class Json {
+    private static final ObjectMapper MAPPER = JsonMapper.builder()
+            .addModule(new Jdk8Module())
+            .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+            .enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES)
+            .build();
+
+    private Json() {}
+
+    /** Returns the shared mapper. */
+    public static ObjectMapper mapper() {
+        return MAPPER;
+    }
+
+    /** Converts a value to UTF-8 JSON. */
+    public static byte[] bytes(Object value) {
+        try {
+            return MAPPER.writeValueAsBytes(value);
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException(
+                    "Cannot write " + value.getClass().getName() + " as JSON.", e);
+        }
+    }
+
+    /** Converts a value to a JSON tree. */
+    public static JsonNode tree(Object value) {
+        return MAPPER.valueToTree(value);
+    }
+
+    /** Parses JSON into a tree. Malformed input throws {@link UncheckedIOException}. */
+    public static JsonNode parse(byte[] json) {
+        try {
+            return MAPPER.readTree(json);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Parses JSON into a typed value. Malformed input throws {@link UncheckedIOException}. */
+    public static <T> T read(byte[] json, Class<T> type) {
+        try {
+            return MAPPER.readValue(json, type);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Converts a tree into a typed value. Input of the wrong shape throws {@link UncheckedIOException}. */
+    public static <T> T read(JsonNode tree, Class<T> type) {
+        try {
+            return MAPPER.treeToValue(tree, type);
+        } catch (JsonProcessingException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/net/src/main/java/io/hornbeamfield/net/platform/PlatformFailure.java
@@ -0,0 +1,17 @@
+package io.hornbeamfield.net.platform;
+
+/** The platform answered a read with an error status. */
+public final class PlatformFailure extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+    private final int status;
+
+    public PlatformFailure(int status, String message) {
+        super(message);
+        this.status = status;
+    }
+
+    /** Returns the HTTP status of the answer. */
+    public int status() {
+        return status;
+    }
+}
--- /dev/null
+++ b/net/src/test/java/io/hornbeamfield/net/http/HttpTest.java
@@ -0,0 +1,104 @@
+package io.hornbeamfield.net.http;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.catchThrowableOfType;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class HttpTest {
+    private final HttpClient client = HttpClient.create("test");
+    private final CompletableFuture<Boolean> disconnected = new CompletableFuture<>();
+    private final HttpServer server = HttpServer.builder()
+            .route(
+                    "POST",
+                    "/echo",
+                    x -> x.reply(200, Map.of("X-Query", x.query("q").orElse("none")), x.body()))
+            .route("GET", "/stream", HttpTest::stream)
+            .route("GET", "/abort", x -> {
+                ResponseStream s = x.startStream(200, Map.of());
+                s.write("part".getBytes(UTF_8));
+                s.abort();
+            })
+            .route("GET", "/never", x -> x.onDisconnect(() -> disconnected.complete(true)))
+            .start();
+
+    private static void stream(HttpExchange x) {
+        ResponseStream s = x.startStream(200, Map.of("Content-Type", "text/event-stream"));
+        Thread writer = new Thread(() -> {
+            for (int i = 0; i < 100; i++) {
+                s.write((i + ";").getBytes(UTF_8));
+            }
+            s.end();
+        });
+        writer.start();
+    }
+
+    @AfterEach
+    void stop() {
+        client.close();
+        server.close();
+    }
+
+    private String url(String path) {
+        return "http://127.0.0.1:" + server.port() + path;
+    }
+
+    @Test
+    void largeBodyAndQueryArriveWhole() {
+        String body = "x".repeat(300_000);
+        HttpReply reply = client.send(HttpCall.post(url("/echo?q=a%20b"))
+                        .body(body.getBytes(UTF_8))
+                        .build())
+                .join();
+        assertThat(reply.text()).isEqualTo(body);
+        assertThat(reply.headers()).containsEntry("x-query", "a b");
+    }
+
+    @Test
+    void bodyOverTheLimitIsRefused() {
+        HttpReply reply = client.send(HttpCall.post(url("/echo"))
+                        .body(new byte[HttpServer.MAX_BODY_BYTES + 1])
+                        .build())
+                .join();
+        assertThat(reply.status()).isEqualTo(413);
+    }
+
+    @Test
+    void streamedPartsArriveInOrderOnReusedConnections() {
+        for (int i = 0; i < 20; i++) {
+            HttpReply reply = client.send(HttpCall.get(url("/stream")).build()).join();
+            assertThat(reply.text()).startsWith("0;1;2;").endsWith("98;99;");
+        }
+    }
+
+    @Test
+    void refusedConnectionIsReportedAsNothingSent() {
+        server.close();
+        assertThat(failureOf("/echo").kind()).isEqualTo(CallFailure.Kind.CONNECT_FAILED);
+    }
+
+    @Test
+    void abortedStreamIsReportedAsBrokenAndNotAsComplete() {
+        assertThat(failureOf("/abort").kind()).isEqualTo(CallFailure.Kind.BROKEN);
+    }
+
+    @Test
+    void silentServerTimesOutAndSeesTheDisconnect() throws Exception {
+        assertThat(failureOf("/never").kind()).isEqualTo(CallFailure.Kind.TIMED_OUT);
+        assertThat(disconnected.get(5, TimeUnit.SECONDS)).isTrue();
+    }
+
+    private CallFailure failureOf(String path) {
+        HttpCall call = HttpCall.get(url(path)).timeout(Duration.ofMillis(300)).build();
+        CompletionException e = catchThrowableOfType(
+                CompletionException.class, () -> client.send(call).join());
+        return (CallFailure) e.getCause();
+    }
+}
