Publish blackboard sections through volatile fields

Cause: NullAway treats AtomicReference.get as nullable, and the build failed. Change: volatile fields; every section holds an immutable value. Conclusion: all modules compile with the checks on.

--- a/router/src/main/java/io/hornbeamfield/router/Blackboard.java
+++ b/router/src/main/java/io/hornbeamfield/router/Blackboard.java
@@ -5,7 +5,6 @@
 import io.hornbeamfield.core.routing.RouterInfo;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicReference;
 
 /**
  * State that controllers write on the control thread and that all threads read.
@@ -15,30 +14,30 @@
  * }</pre>
  */
 public final class Blackboard {
-    private final AtomicReference<Optional<ConfigSnapshot>> config = new AtomicReference<>(Optional.empty());
-    private final AtomicReference<List<RouterInfo>> routers = new AtomicReference<>(List.of());
+    private volatile Optional<ConfigSnapshot> config = Optional.empty();
+    private volatile List<RouterInfo> routers = List.of();
     private volatile ServerState ownState = ServerState.LIVE;
     private volatile boolean configStale;
     private volatile boolean refusingNewWork;
 
     /** Returns the adopted configuration, empty until the router may serve. */
     public Optional<ConfigSnapshot> config() {
-        return config.get();
+        return config;
     }
 
     /** Publishes an adopted configuration. */
     public void publishConfig(ConfigSnapshot snapshot) {
-        config.set(Optional.of(snapshot));
+        config = Optional.of(snapshot);
     }
 
     /** Returns all known routers, this one included. */
     public List<RouterInfo> routers() {
-        return routers.get();
+        return routers;
     }
 
     /** Publishes the known routers. */
     public void publishRouters(List<RouterInfo> list) {
-        routers.set(List.copyOf(list));
+        routers = List.copyOf(list);
     }
 
     /** Returns whether this router is live or leaving. */
