Add settings, log and metrics to net

Cause: the daemons need checked settings, JSON log lines and metrics. Change: SettingsLoader checks a JSON file against the schema resource beside the settings record and names the path of every wrong, missing or unknown field; Logs installs jboss-logmanager with one JSON object per line on standard error; Metrics wraps a Dropwizard registry and renders it as JSON. Ruled out: an own JSON formatter (jboss-logmanager has one; it needs a jakarta.json provider, so parsson is added as a runtime dependency); launcher flags for the log manager (the property is set by Logs.setUp, and a test in a process of its own guards this).

--- /dev/null
+++ b/net/src/main/java/io/hornbeamfield/net/log/package-info.java
@@ -0,0 +1,5 @@
+/** Log output as JSON lines. */
+@NullMarked
+package io.hornbeamfield.net.log;
+
+import org.jspecify.annotations.NullMarked;
