--- /dev/null
+++ b/net/src/main/java/io/hornbeamfield/net/peer/PeerMessage.java
@@ -0,0 +1,57 @@
+package io.hornbeamfield.net.peer;
+
+import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import io.hornbeamfield.core.config.ConfigHead;
+import io.hornbeamfield.core.config.ServerState;
+import io.hornbeamfield.core.config.WorkspaceShard;
+import java.util.Map;
+
+/**
+ * A message between routers. Unknown fields are ignored, so that routers of different versions can be linked while a
+ * fleet is being replaced.
+ */
+@JsonIgnoreProperties(ignoreUnknown = true)
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "type")
+@JsonSubTypes({
+    @JsonSubTypes.Type(value = PeerMessage.Hello.class, name = "Hello"),
+    @JsonSubTypes.Type(value = PeerMessage.Proof.class, name = "Proof"),
+    @JsonSubTypes.Type(value = PeerMessage.Heartbeat.class, name = "Heartbeat"),
+    @JsonSubTypes.Type(value = PeerMessage.ConfigRequest.class, name = "ConfigRequest"),
+    @JsonSubTypes.Type(value = PeerMessage.ConfigOffer.class, name = "ConfigOffer"),
+    @JsonSubTypes.Type(value = PeerMessage.TransferRequest.class, name = "TransferRequest"),
+    @JsonSubTypes.Type(value = PeerMessage.TransferGrant.class, name = "TransferGrant")
+})
+public sealed interface PeerMessage {
+
+    /** The first message of each side. The nonce is hexadecimal and used once. */
+    record Hello(String incarnation, String instanceId, String zone, String callerAddress, String nonce)
+            implements PeerMessage {}
+
+    /** The second message of each side, which proves knowledge of the shared secret. */
+    record Proof(String hmac) implements PeerMessage {}
+
+    /**
+     * States that the sender is alive and what it has in force. The age is the time since the revision was last
+     * confirmed. Revision 0 means that the sender has no configuration.
+     */
+    record Heartbeat(long sequence, long configRevision, long configAgeMs, ServerState state, int inFlight)
+            implements PeerMessage {}
+
+    /** Asks for the configuration if the receiver has the given revision or a newer one. */
+    record ConfigRequest(long revision) implements PeerMessage {}
+
+    /** A whole configuration. The shards are keyed by their two-digit number. */
+    record ConfigOffer(ConfigHead head, Map<String, WorkspaceShard> shards) implements PeerMessage {
+        public ConfigOffer {
+            shards = Map.copyOf(shards);
+        }
+    }
+
+    /** Asks for tokens of a budget. */
+    record TransferRequest(String transferId, String budget, long tokens) implements PeerMessage {}
+
+    /** Hands over tokens that the sender has debited already; 0 tokens means that there is nothing to transfer. */
+    record TransferGrant(String transferId, String budget, long tokens) implements PeerMessage {}
+}
--- /dev/null
+++ b/net/src/main/java/io/hornbeamfield/net/peer/internal/Frames.java
@@ -0,0 +1,45 @@
+package io.hornbeamfield.net.peer.internal;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import io.hornbeamfield.net.peer.PeerMessage;
+import io.hornbeamfield.net.peer.PeerTransport;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+
+/** Converts messages to frames: a 4-byte big-endian length and a MessagePack map. */
+final class Frames {
+    static final int HEADER_BYTES = Integer.BYTES;
+
+    private static final ObjectMapper MAPPER = new ObjectMapper(new MessagePackFactory())
+            .registerModule(new Jdk8Module())
+            .enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES)
+            .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+
+    private Frames() {}
+
+    static byte[] encode(PeerMessage message) {
+        byte[] body;
+        try {
+            body = MAPPER.writerFor(PeerMessage.class).writeValueAsBytes(message);
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException(
+                    "Cannot encode " + message.getClass().getSimpleName() + ".", e);
+        }
+        if (body.length > PeerTransport.MAX_FRAME_BYTES) {
+            throw new IllegalArgumentException("A " + message.getClass().getSimpleName() + " of " + body.length
+                    + " bytes is over the frame limit of " + PeerTransport.MAX_FRAME_BYTES + ".");
+        }
+        return ByteBuffer.allocate(HEADER_BYTES + body.length)
+                .putInt(body.length)
+                .put(body)
+                .array();
+    }
+
+    static PeerMessage decode(byte[] body) throws IOException {
+        return MAPPER.readValue(body, PeerMessage.class);
+    }
+}
