Close a peer link whose write fails

Change: the handler is typed with the address type of the connection. Before: compilation error in Link.java. After: 22 of 22 tests of net pass, among them 10 of 10 peer tests.

--- a/net/src/main/java/io/hornbeamfield/net/peer/internal/Link.java
+++ b/net/src/main/java/io/hornbeamfield/net/peer/internal/Link.java
@@ -125,14 +125,17 @@
     }
 
     private boolean write(PeerMessage message) {
-        Buffer frame = Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, Frames.encode(message));
-        connection.write(frame, new EmptyCompletionHandler<WriteResult>() {
+        writeFrame(connection, Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, Frames.encode(message)));
+        return isOpen();
+    }
+
+    private <A> void writeFrame(Connection<A> to, Buffer frame) {
+        to.write(frame, new EmptyCompletionHandler<WriteResult<Buffer, A>>() {
             @Override
             public void failed(Throwable cause) {
                 close();
             }
         });
-        return isOpen();
     }
 
     @Override
