--- /dev/null
+++ b/core/src/main/java/io/hornbeamfield/core/budget/SliceSizers.java
@@ -0,0 +1,39 @@
+package io.hornbeamfield.core.budget;
+
+import java.time.Duration;
+
+/**
+ * The slice sizes that a router can use.
+ *
+ * <pre>{@code
+ * SliceSizer sizer = SliceSizers.demandProportional(Duration.ofSeconds(60), 0.5);
+ * }</pre>
+ */
+public final class SliceSizers {
+    private SliceSizers() {}
+
+    /**
+     * Covers the demand of the horizon, but not more than this router's part of the given share of the free tokens, and
+     * at least the tokens needed at once.
+     */
+    public static SliceSizer demandProportional(Duration horizon, double maxShareOfFree) {
+        double seconds = horizon.toMillis() / 1000.0;
+        return demand -> {
+            long wanted = Math.max((long) Math.ceil(demand.tokensPerSecond() * seconds), demand.need());
+            long free = Math.max(0, demand.free());
+            long share = (long) (free * maxShareOfFree / Math.max(1, demand.liveRouters()));
+            long reachable = free + Math.max(0, demand.available());
+            return Math.max(Math.min(wanted, share), Math.min(demand.need(), reachable));
+        };
+    }
+
+    /** Aims for the same number of tokens whatever the demand. */
+    public static SliceSizer fixed(long tokens) {
+        return demand -> Math.max(tokens, demand.need());
+    }
+
+    /** Divides everything granted evenly among the live routers. */
+    public static SliceSizer evenSplit() {
+        return demand -> demand.granted() / Math.max(1, demand.liveRouters());
+    }
+}
