--- /dev/null
+++ b/core/src/main/java/io/hornbeamfield/core/admission/Deadline.java
@@ -0,0 +1,56 @@
+package io.hornbeamfield.core.admission;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+
+/**
+ * The instant after which a caller no longer waits for its answer.
+ *
+ * <pre>{@code
+ * Deadline deadline = Deadline.after(Duration.ofMillis(800), clock);
+ * if (deadline.hasPassed(clock)) { ... }
+ * }</pre>
+ */
+public record Deadline(Instant at) implements Comparable<Deadline> {
+    private static final Deadline NONE = new Deadline(Instant.MAX);
+
+    /** Returns a deadline that never passes. */
+    public static Deadline none() {
+        return NONE;
+    }
+
+    /** Returns the deadline at the given distance from now. */
+    public static Deadline after(Duration distance, Clock clock) {
+        return new Deadline(clock.instant().plus(distance));
+    }
+
+    /** Returns whether this deadline ever passes. */
+    public boolean isBounded() {
+        return !at.equals(Instant.MAX);
+    }
+
+    /** Returns whether the deadline has been reached. */
+    public boolean hasPassed(Clock clock) {
+        return !clock.instant().isBefore(at);
+    }
+
+    /** Returns whether work that takes the given time from now ends in time. */
+    public boolean leaves(Duration work, Clock clock) {
+        return !isBounded() || !clock.instant().plus(work).isAfter(at);
+    }
+
+    /** Returns the time that is left, zero once the deadline has passed; ten years if there is no deadline. */
+    public Duration remaining(Clock clock) {
+        if (!isBounded()) {
+            return Duration.ofDays(3_650);
+        }
+        Duration left = Duration.between(clock.instant(), at);
+        return left.isNegative() ? Duration.ZERO : left;
+    }
+
+    @Override
+    public int compareTo(Deadline other) {
+        return at.compareTo(other.at);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamfield/core/admission/internal/package-info.java
@@ -0,0 +1,5 @@
+/** Parts of the admission queue. */
+@NullMarked
+package io.hornbeamfield.core.admission.internal;
+
+import org.jspecify.annotations.NullMarked;
