Add the controllers of the router

Cause: the traffic part needs budgets, billing, backend loads and the list of routers. Ruled out: asking all peers for tokens at once (each would give the full amount, and the surplus is missing elsewhere); a queue in which a large request holds up smaller ones (the end of a budget could not be used); dropping idle accounts from memory (a second allotment of the same incarnation would credit the same takes again).

--- /dev/null
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/BackendController.java
@@ -0,0 +1,200 @@
+package io.hornbeamfield.router.control.internal;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.hornbeamfield.core.config.ConfigHead;
+import io.hornbeamfield.core.config.Pool;
+import io.hornbeamfield.core.config.PoolKind;
+import io.hornbeamfield.core.config.Server;
+import io.hornbeamfield.core.config.ServerState;
+import io.hornbeamfield.core.routing.BackendView;
+import io.hornbeamfield.core.routing.PrefixIndex;
+import io.hornbeamfield.net.http.CallFailure;
+import io.hornbeamfield.net.http.HttpCall;
+import io.hornbeamfield.net.http.HttpClient;
+import io.hornbeamfield.net.http.HttpReply;
+import io.hornbeamfield.net.json.Json;
+import io.hornbeamfield.router.BackendLoad;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * Polls the load and the cache events of backend servers. Which servers may get work is read from the configuration at
+ * each question, so that a retirement is in force with the adoption of its revision.
+ */
+final class BackendController implements BackendLoad {
+    static final Duration LOAD_PERIOD = Duration.ofMillis(500);
+    static final Duration EVENTS_PERIOD = Duration.ofSeconds(1);
+    static final Duration SUSPENSION = Duration.ofSeconds(2);
+    /** A report has about 200 bytes, so that reading all reports takes at most about 20 KB/s. */
+    private static final Duration PERIOD_PER_SERVER = Duration.ofMillis(10);
+
+    private static final Duration CALL_TIMEOUT = Duration.ofSeconds(2);
+
+    private final ControlContext context;
+    private final HttpClient http;
+    private final InstanceListController instances;
+    private final PrefixIndex prefixes;
+    private final Map<String, ServerEntry> entries = new ConcurrentHashMap<>();
+
+    BackendController(ControlContext context, HttpClient http, InstanceListController instances, PrefixIndex prefixes) {
+        this.context = context;
+        this.http = http;
+        this.instances = instances;
+        this.prefixes = prefixes;
+    }
+
+    void start() {
+        pollLoads();
+        pollEvents();
+    }
+
+    @Override
+    public List<BackendView> candidates(String pool) {
+        return servers(pool).entrySet().stream()
+                .filter(e -> mayGetWork(e.getKey(), e.getValue()))
+                .map(e -> entry(e.getKey(), e.getValue()).view(context.now()))
+                .toList();
+    }
+
+    private Map<String, Server> servers(String pool) {
+        return head().map(h -> h.pools().get(pool)).map(Pool::servers).orElse(Map.of());
+    }
+
+    private Optional<ConfigHead> head() {
+        return context.blackboard().config().map(c -> c.head());
+    }
+
+    /** Returns whether neither configuration, instance list nor the server itself says that it is leaving. */
+    boolean mayGetWork(String id, Server server) {
+        return server.state() == ServerState.LIVE
+                && !instances.saysLeaving(id)
+                && !entry(id, server).saysLeaving();
+    }
+
+    /** Returns the entry of a server; a server that moved to another address is a new one. */
+    ServerEntry entry(String id, Server server) {
+        return entries.compute(
+                id, (k, e) -> e != null && e.address().equals(server.address()) ? e : new ServerEntry(id, server));
+    }
+
+    @Override
+    public void sent(String serverId) {
+        Optional.ofNullable(entries.get(serverId)).ifPresent(ServerEntry::sent);
+    }
+
+    @Override
+    public void finished(String serverId) {
+        Optional.ofNullable(entries.get(serverId)).ifPresent(ServerEntry::finished);
+    }
+
+    @Override
+    public void connectFailed(String serverId) {
+        Optional.ofNullable(entries.get(serverId))
+                .ifPresent(e -> e.suspendUntil(context.now().plus(SUSPENSION)));
+    }
+
+    private void pollLoads() {
+        Map<String, Server> all = new HashMap<>();
+        head().ifPresent(h -> h.pools().values().forEach(p -> all.putAll(p.servers())));
+        Set<String> gone = new HashSet<>(entries.keySet());
+        gone.removeAll(all.keySet());
+        gone.forEach(id -> {
+            entries.remove(id);
+            prefixes.forget(id);
+        });
+        all.forEach((id, server) -> askLoad(id, entry(id, server)));
+        context.loop().after(period(LOAD_PERIOD), this::pollLoads);
+    }
+
+    private Duration period(Duration shortest) {
+        Duration scaled = PERIOD_PER_SERVER.multipliedBy(entries.size());
+        return scaled.compareTo(shortest) > 0 ? scaled : shortest;
+    }
+
+    private void askLoad(String id, ServerEntry entry) {
+        if (entry.loadAsked) {
+            return;
+        }
+        entry.loadAsked = true;
+        context.loop()
+                .onDone(
+                        get(entry, "/load"),
+                        load -> {
+                            entry.loadAsked = false;
+                            entry.reported(load);
+                        },
+                        failure -> {
+                            entry.loadAsked = false;
+                            context.count("backends.loadFailed");
+                            if (connectFailed(failure)) {
+                                connectFailed(id);
+                                // A server that restarts numbers its events from 1 again.
+                                entry.eventsRead = 0;
+                            }
+                        });
+    }
+
+    private static boolean connectFailed(Throwable failure) {
+        Throwable cause =
+                failure instanceof CompletionException && failure.getCause() != null ? failure.getCause() : failure;
+        return cause instanceof CallFailure f && f.kind() == CallFailure.Kind.CONNECT_FAILED;
+    }
+
+    private void pollEvents() {
+        head().ifPresent(h -> h.pools().values().stream()
+                .filter(p -> p.kind() == PoolKind.MODEL)
+                .forEach(p -> p.servers().forEach((id, server) -> askEvents(id, entry(id, server)))));
+        context.loop().after(period(EVENTS_PERIOD), this::pollEvents);
+    }
+
+    private void askEvents(String id, ServerEntry entry) {
+        if (entry.eventsAsked) {
+            return;
+        }
+        entry.eventsAsked = true;
+        context.loop()
+                .onDone(
+                        get(entry, "/cache-events?after=" + entry.eventsRead),
+                        reply -> {
+                            entry.eventsAsked = false;
+                            reply.path("events").forEach(e -> apply(id, e));
+                            entry.eventsRead = reply.path("next").asLong(entry.eventsRead);
+                        },
+                        failure -> {
+                            entry.eventsAsked = false;
+                            context.count("backends.eventsFailed");
+                        });
+    }
+
+    private void apply(String id, JsonNode event) {
+        long seq = event.path("seq").asLong();
+        String hash = event.path("prefixHash").asText();
+        if (event.path("kind").asText().equals("stored")) {
+            prefixes.stored(id, seq, hash);
+        } else {
+            prefixes.evicted(id, seq, hash);
+        }
+    }
+
+    private CompletableFuture<JsonNode> get(ServerEntry entry, String path) {
+        HttpCall call = HttpCall.get("http://" + entry.address() + path)
+                .timeout(CALL_TIMEOUT)
+                .build();
+        return http.send(call).thenApply(BackendController::json);
+    }
+
+    private static JsonNode json(HttpReply reply) {
+        if (!reply.isSuccess()) {
+            throw new IllegalStateException("The server answered " + reply.status() + ".");
+        }
+        return Json.parse(reply.body());
+    }
+}
--- /dev/null
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/Backoff.java
@@ -0,0 +1,31 @@
+package io.hornbeamfield.router.control.internal;
+
+import java.time.Duration;
+import java.util.concurrent.ThreadLocalRandom;
+
+/** Delays between attempts: doubled with each failure up to a limit, less up to half so that routers spread out. */
+final class Backoff {
+    private final Duration first;
+    private final Duration limit;
+    private int failures;
+
+    Backoff(Duration first, Duration limit) {
+        this.first = first;
+        this.limit = limit;
+    }
+
+    Duration failed() {
+        Duration full = first.multipliedBy(1L << Math.min(failures, 16));
+        failures++;
+        long nanos = (full.compareTo(limit) > 0 ? limit : full).toNanos();
+        return Duration.ofNanos(nanos - ThreadLocalRandom.current().nextLong(nanos / 2 + 1));
+    }
+
+    void succeeded() {
+        failures = 0;
+    }
+
+    boolean isFailing() {
+        return failures > 0;
+    }
+}
--- /dev/null
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/BudgetWaiter.java
@@ -0,0 +1,9 @@
+package io.hornbeamfield.router.control.internal;
+
+import io.hornbeamfield.core.budget.Reservation;
+import io.hornbeamfield.core.result.Result;
+import java.time.Instant;
+import java.util.concurrent.CompletableFuture;
+
+/** A request that waits for tokens. */
+record BudgetWaiter(long tokens, Instant arrivedAt, Instant deadline, CompletableFuture<Result<Reservation>> answer) {}
--- /dev/null
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/LedgerController.java
@@ -0,0 +1,185 @@
+package io.hornbeamfield.router.control.internal;
+
+import io.hornbeamfield.core.identity.RequestKey;
+import io.hornbeamfield.core.ledger.LedgerRecord.Bill;
+import io.hornbeamfield.core.ledger.LedgerWriter;
+import io.hornbeamfield.core.ledger.PendingWrite;
+import io.hornbeamfield.core.ledger.SettledBills;
+import io.hornbeamfield.core.ledger.TakeoverProcess;
+import io.hornbeamfield.core.ledger.TakeoverStep;
+import io.hornbeamfield.net.json.Json;
+import io.hornbeamfield.net.platform.WriteResult;
+import io.hornbeamfield.router.BillingService;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+
+/** Writes this incarnation's ledger in batches and takes over the billing of requests of other incarnations. */
+final class LedgerController implements BillingService {
+    /** 1,000 records of about 200 bytes are well below the platform's limit of 1 MB. */
+    private static final int MAX_RECORDS = 1_000;
+    /** Time for the router that took a request over to bill it, before this one looks whether it has to. */
+    private static final Duration TAKEN_OVER_DELAY = Duration.ofSeconds(10);
+
+    private static final Duration AGAIN_DELAY = Duration.ofSeconds(1);
+
+    private final ControlContext context;
+    private final Duration flushPeriod;
+    private final Supplier<String> batchIds = () -> UUID.randomUUID().toString();
+    private final LedgerWriter writer;
+    private final LedgerReader reader;
+    private final Backoff backoff = new Backoff(Duration.ofMillis(200), Duration.ofSeconds(2));
+    /** Answers of bills that are neither stored nor known to be stored elsewhere, by request id. */
+    private final Map<String, CompletableFuture<Void>> open = new HashMap<>();
+
+    private Instant lastWriteAt = Instant.EPOCH;
+    private boolean flushPlanned;
+    private boolean writing;
+    private CompletableFuture<Void> drained = CompletableFuture.completedFuture(null);
+
+    LedgerController(ControlContext context, Duration flushPeriod) {
+        this.context = context;
+        this.flushPeriod = flushPeriod;
+        this.writer = new LedgerWriter(context.incarnation(), batchIds, MAX_RECORDS);
+        this.reader = new LedgerReader(context);
+    }
+
+    @Override
+    public CompletableFuture<Void> bill(Bill bill, Optional<String> foreignOwner) {
+        CompletableFuture<Void> stored = new CompletableFuture<>();
+        context.loop().execute(() -> accept(bill, foreignOwner, stored));
+        return stored;
+    }
+
+    private void accept(Bill bill, Optional<String> foreignOwner, CompletableFuture<Void> stored) {
+        CompletableFuture<Void> earlier = open.get(bill.requestId());
+        if (earlier != null) {
+            earlier.thenAccept(stored::complete);
+            return;
+        }
+        if (drained.isDone()) {
+            drained = new CompletableFuture<>();
+        }
+        open.put(bill.requestId(), stored);
+        if (foreignOwner.isPresent()) {
+            takeOver(bill, foreignOwner.get());
+        } else if (writer.add(bill)) {
+            planFlush();
+        } else {
+            lookLater(bill, TAKEN_OVER_DELAY);
+        }
+    }
+
+    /** Plans a write as soon as the shortest time since the last one has passed. */
+    private void planFlush() {
+        if (flushPlanned || writing) {
+            return;
+        }
+        flushPlanned = true;
+        Duration since = Duration.between(lastWriteAt, context.now());
+        Duration delay = flushPeriod.minus(since);
+        context.loop().after(delay.isNegative() ? Duration.ZERO : delay, this::flush);
+    }
+
+    private void flush() {
+        flushPlanned = false;
+        writer.next().ifPresent(write -> {
+            writing = true;
+            lastWriteAt = context.now();
+            context.loop()
+                    .onDone(
+                            context.platform().write(write.objectKey(), 0, Json.tree(write.batch())),
+                            result -> written(write, result),
+                            failure -> unknown());
+        });
+    }
+
+    private void written(PendingWrite write, WriteResult result) {
+        if (result instanceof WriteResult.Applied) {
+            context.metrics()
+                    .counter("control.ledger.records")
+                    .inc(write.batch().records().size());
+            settled(writer.applied());
+        } else if (result instanceof WriteResult.Conflict conflict
+                && conflict.current().isPresent()) {
+            settled(writer.conflict(Takeover.batch(conflict.current().get())));
+        } else {
+            unknown();
+        }
+    }
+
+    private void unknown() {
+        context.count("ledger.writeRetries");
+        writer.unknown();
+        flushPlanned = true;
+        writing = false;
+        context.loop().after(backoff.failed(), this::flush);
+    }
+
+    private void settled(SettledBills bills) {
+        writing = false;
+        backoff.succeeded();
+        bills.stored().forEach(this::stored);
+        bills.takenOver().forEach(bill -> lookLater(bill, TAKEN_OVER_DELAY));
+        if (writer.pending() > 0) {
+            planFlush();
+        }
+    }
+
+    private void stored(Bill bill) {
+        CompletableFuture<Void> answer = open.remove(bill.requestId());
+        if (answer != null) {
+            answer.complete(null);
+        }
+        if (open.isEmpty()) {
+            drained.complete(null);
+        }
+    }
+
+    /** Looks after a delay whether another incarnation has billed the request, and bills it if that one did not. */
+    private void lookLater(Bill bill, Duration delay) {
+        String owner = RequestKey.parse(bill.requestId()).fold(RequestKey::owner, refusal -> context.incarnation());
+        context.loop().after(delay, () -> takeOver(bill, owner));
+    }
+
+    private void takeOver(Bill bill, String owner) {
+        TakeoverProcess process = new TakeoverProcess(bill.requestId(), owner, context.incarnation(), batchIds);
+        new Takeover(context, reader, process, end -> {
+                    if (end instanceof TakeoverStep.Mine mine) {
+                        billTakenOver(bill, mine);
+                    } else {
+                        context.count("ledger.alreadyBilled");
+                        stored(bill);
+                    }
+                })
+                .proceed();
+    }
+
+    private void billTakenOver(Bill bill, TakeoverStep.Mine mine) {
+        if (writer.addTakenOver(bill, mine)) {
+            planFlush();
+        } else {
+            lookLater(bill, AGAIN_DELAY);
+        }
+    }
+
+    /** Completes when every bill is stored here or known to be stored elsewhere. */
+    CompletableFuture<Void> flushed() {
+        return drained;
+    }
+
+    /** Returns the number of bills that are not known to be stored. */
+    int pending() {
+        return open.size();
+    }
+
+    /** Returns the number of the next batch. */
+    long sequence() {
+        return writer.sequence();
+    }
+}
--- /dev/null
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/LedgerReader.java
@@ -0,0 +1,73 @@
+package io.hornbeamfield.router.control.internal;
+
+import io.hornbeamfield.core.ledger.LedgerBatch;
+import io.hornbeamfield.core.ledger.PendingWrite;
+import io.hornbeamfield.net.json.Json;
+import io.hornbeamfield.net.platform.ObjectPage;
+import io.hornbeamfield.net.platform.VersionedValue;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * Reads the ledgers of other incarnations. Stored batches never change, so that those read once are kept: after the
+ * death of a router many requests are looked up in the same ledger.
+ */
+final class LedgerReader {
+    private static final int PAGE = 100;
+    /** About 10 MB at 200 bytes a record. The ledger that was not used for longest is dropped first. */
+    private static final int MAX_KEPT_RECORDS = 50_000;
+
+    private final ControlContext context;
+    private final Map<String, List<LedgerBatch>> kept = new LinkedHashMap<>(16, 0.75f, true);
+
+    LedgerReader(ControlContext context) {
+        this.context = context;
+    }
+
+    /** Batches that follow the number asked for, and whether there may be more. */
+    record Batches(List<LedgerBatch> batches, boolean more) {}
+
+    /** Reads the batches after a number, without gaps. Completes on any thread; called on the control thread. */
+    CompletableFuture<Batches> read(String ledger, long after) {
+        List<LedgerBatch> known = kept.getOrDefault(ledger, List.of());
+        if (known.size() > after) {
+            return CompletableFuture.completedFuture(
+                    new Batches(List.copyOf(known.subList((int) after, known.size())), true));
+        }
+        return context.platform()
+                .list("ledger/" + ledger + "/", PendingWrite.objectKey(ledger, after), PAGE)
+                .thenApply(page -> batches(ledger, after, page));
+    }
+
+    /** A list that was read from a lagging copy may lack batches; what follows a gap is read again later. */
+    private static Batches batches(String ledger, long after, ObjectPage page) {
+        List<LedgerBatch> found = new ArrayList<>();
+        for (VersionedValue object : page.objects()) {
+            if (!object.key().equals(PendingWrite.objectKey(ledger, after + found.size() + 1))) {
+                return new Batches(found, false);
+            }
+            found.add(Json.read(object.value(), LedgerBatch.class));
+        }
+        return new Batches(found, page.more() && !found.isEmpty());
+    }
+
+    /** Keeps batches that were read after a number, on the control thread. */
+    void keep(String ledger, long after, List<LedgerBatch> batches) {
+        List<LedgerBatch> known = kept.computeIfAbsent(ledger, l -> new ArrayList<>());
+        if (known.size() == after) {
+            known.addAll(batches);
+        }
+        int records = kept.values().stream()
+                .flatMap(List::stream)
+                .mapToInt(b -> b.records().size())
+                .sum();
+        var oldest = kept.keySet().iterator();
+        if (records > MAX_KEPT_RECORDS && oldest.hasNext()) {
+            oldest.next();
+            oldest.remove();
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/OrdersController.java
@@ -0,0 +1,137 @@
+package io.hornbeamfield.router.control.internal;
+
+import io.hornbeamfield.core.config.ConfigHead;
+import io.hornbeamfield.core.config.Pool;
+import io.hornbeamfield.core.config.PoolKind;
+import io.hornbeamfield.net.http.HttpCall;
+import io.hornbeamfield.net.http.HttpClient;
+import io.hornbeamfield.net.http.HttpReply;
+import io.hornbeamfield.net.json.Json;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * While this router holds the lease, orders the servers of a pool to load the pool's models that they lack. The orders
+ * are spread evenly over the minute, because the weight store is rate-limited; a new holder begins with a pause,
+ * because it does not know when its predecessor gave the last order.
+ */
+final class OrdersController {
+    private static final Duration TICK = Duration.ofMillis(500);
+    private static final Duration CALL_TIMEOUT = Duration.ofSeconds(3);
+    /**
+     * Loading takes a while and load reports lag; an order is repeated if its model is still missing after this time.
+     */
+    private static final Duration REPEAT_AFTER = Duration.ofSeconds(60);
+
+    private static final Duration MINUTE = Duration.ofMinutes(1);
+    private static final int HTTP_CONFLICT = 409;
+
+    private final ControlContext context;
+    private final HttpClient http;
+    private final BackendController backends;
+    private final OrdersLease lease;
+    private final Map<String, Instant> ordered = new HashMap<>();
+    private Instant nextLoadAt = Instant.EPOCH;
+    private long lastFence = -1;
+
+    /** An order. */
+    record Order(long fence, String kind, String model) {}
+
+    private record Missing(String server, ServerEntry entry, String model, long copies) {
+        String id() {
+            return server + " " + entry.address() + " " + model;
+        }
+    }
+
+    OrdersController(ControlContext context, HttpClient http, BackendController backends, OrdersLease lease) {
+        this.context = context;
+        this.http = http;
+        this.backends = backends;
+        this.lease = lease;
+    }
+
+    void start() {
+        lease.start();
+        context.loop().every(TICK, this::tick);
+    }
+
+    private void tick() {
+        Optional<ConfigHead> head = context.blackboard().config().map(c -> c.head());
+        if (!lease.mayOrder() || head.isEmpty()) {
+            return;
+        }
+        Instant now = context.now();
+        Duration spacing = MINUTE.dividedBy(Math.max(1, head.get().weightStoreLoadsPerMinute()));
+        if (lease.fence() != lastFence) {
+            lastFence = lease.fence();
+            ordered.clear();
+            nextLoadAt = now.plus(spacing);
+        }
+        ordered.values().removeIf(at -> Duration.between(at, now).compareTo(REPEAT_AFTER) > 0);
+        List<Missing> missing = missing(head.get());
+        // With a large limit, several orders fall into one tick.
+        Instant due = nextLoadAt.isBefore(now.minus(TICK)) ? now.minus(TICK) : nextLoadAt;
+        for (Missing m : missing) {
+            if (due.isAfter(now) || !lease.mayOrder()) {
+                break;
+            }
+            due = due.plus(spacing);
+            order(m);
+        }
+        nextLoadAt = due;
+    }
+
+    /** Returns what is missing, first the models that the fewest servers of their pool have. */
+    private List<Missing> missing(ConfigHead head) {
+        List<Missing> missing = new ArrayList<>();
+        for (Pool pool : head.pools().values()) {
+            if (pool.kind() == PoolKind.MODEL) {
+                pool.models().forEach(model -> missing.addAll(missing(pool, model)));
+            }
+        }
+        missing.removeIf(m -> ordered.containsKey(m.id()));
+        missing.sort(Comparator.comparingLong(Missing::copies).thenComparing(Missing::id));
+        return missing;
+    }
+
+    private List<Missing> missing(Pool pool, String model) {
+        List<Missing> lacking = new ArrayList<>();
+        long copies = pool.servers().entrySet().stream()
+                .filter(e -> backends.entry(e.getKey(), e.getValue()).has(model))
+                .count();
+        pool.servers().forEach((id, server) -> {
+            ServerEntry entry = backends.entry(id, server);
+            if (backends.mayGetWork(id, server) && entry.lacks(model)) {
+                lacking.add(new Missing(id, entry, model, copies));
+            }
+        });
+        return lacking;
+    }
+
+    private void order(Missing m) {
+        ordered.put(m.id(), context.now());
+        context.count("orders.loads");
+        HttpCall call = HttpCall.post("http://" + m.entry().address() + "/orders")
+                .json(Json.bytes(new Order(lease.fence(), "load", m.model())))
+                .timeout(CALL_TIMEOUT)
+                .build();
+        CompletableFuture<HttpReply> reply = http.send(call);
+        context.loop().onDone(reply, this::answered, failure -> context.count("orders.failed"));
+    }
+
+    private void answered(HttpReply reply) {
+        if (reply.status() == HTTP_CONFLICT) {
+            context.count("orders.fencedOff");
+            lease.fencedOff();
+        } else if (!reply.isSuccess()) {
+            context.count("orders.failed");
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/OrdersLease.java
@@ -0,0 +1,168 @@
+package io.hornbeamfield.router.control.internal;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.hornbeamfield.net.json.Json;
+import io.hornbeamfield.net.platform.VersionedValue;
+import io.hornbeamfield.net.platform.WriteResult;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.jboss.logging.Logger;
+
+/**
+ * The lease that entitles one router to give orders. All times are on the own monotonic clock: the holder counts from
+ * before it sent the write, a successor from when it first saw the last change.
+ */
+final class OrdersLease {
+    static final String KEY = "leases/orders";
+    static final Duration DURATION = Duration.ofSeconds(15);
+    /** The holder gives no order in this last part of the lease. */
+    static final Duration SAFETY = Duration.ofSeconds(1);
+
+    private static final Logger LOG = Logger.getLogger(OrdersLease.class);
+    private static final Duration PERIOD = DURATION.dividedBy(3);
+    private static final Duration RETRY = Duration.ofSeconds(1);
+
+    private final ControlContext context;
+    private Instant expiry = Instant.MIN;
+    private long fence;
+    private long version;
+    private Instant versionSeenAt = Instant.MIN;
+    private boolean holding;
+    private boolean released;
+
+    /** The platform object. A duration of 0 means that the holder gave the lease up. */
+    record Lease(String holder, long fence, long durationMs) {}
+
+    OrdersLease(ControlContext context) {
+        this.context = context;
+    }
+
+    void start() {
+        if (released) {
+            return;
+        }
+        if (holding) {
+            write(version, new Lease(context.incarnation(), fence, DURATION.toMillis()));
+        } else {
+            context.loop().onDone(context.platform().read(KEY), this::follow, failure -> again(RETRY));
+        }
+    }
+
+    private void again(Duration delay) {
+        context.loop().after(delay, this::start);
+    }
+
+    /** Returns whether orders may be given now. */
+    boolean mayOrder() {
+        return holding && !released && context.now().isBefore(expiry.minus(SAFETY));
+    }
+
+    long fence() {
+        return fence;
+    }
+
+    private void follow(Optional<VersionedValue> value) {
+        if (value.isEmpty()) {
+            write(0, new Lease(context.incarnation(), 1, DURATION.toMillis()));
+            return;
+        }
+        Lease lease = Json.read(value.get().value(), Lease.class);
+        seen(value.get().version());
+        if (isOwn(lease)) {
+            adopt(lease);
+            return;
+        }
+        Instant free = versionSeenAt.plusMillis(lease.durationMs());
+        if (context.now().isBefore(free)) {
+            Duration left = Duration.between(context.now(), free);
+            again(left.compareTo(PERIOD) < 0 ? left : PERIOD);
+        } else {
+            write(version, new Lease(context.incarnation(), lease.fence() + 1, DURATION.toMillis()));
+        }
+    }
+
+    private boolean isOwn(Lease lease) {
+        return lease.holder().equals(context.incarnation());
+    }
+
+    /**
+     * The answer of an own write was lost. The lease is renewed at once; orders are given only after that, because the
+     * lost answer does not tell when the lease began.
+     */
+    private void adopt(Lease lease) {
+        if (!holding) {
+            holding = true;
+            fence = lease.fence();
+            expiry = Instant.MIN;
+        }
+        again(Duration.ZERO);
+    }
+
+    private void seen(long newVersion) {
+        if (newVersion != version || versionSeenAt.equals(Instant.MIN)) {
+            version = newVersion;
+            versionSeenAt = context.now();
+        }
+    }
+
+    private void write(long expectedVersion, Lease lease) {
+        Instant sentAt = context.now();
+        JsonNode json = Json.tree(lease);
+        context.loop()
+                .onDone(
+                        context.platform().write(KEY, expectedVersion, json),
+                        result -> written(lease, sentAt, result),
+                        failure -> again(RETRY));
+    }
+
+    private void written(Lease lease, Instant sentAt, WriteResult result) {
+        if (result instanceof WriteResult.Applied applied) {
+            if (!holding) {
+                LOG.infof("This router gives orders with fencing number %d.", lease.fence());
+            }
+            holding = true;
+            fence = lease.fence();
+            seen(applied.version());
+            expiry = sentAt.plus(DURATION);
+            again(PERIOD);
+        } else if (result instanceof WriteResult.Conflict conflict) {
+            conflict(conflict.current());
+        } else {
+            // The write may have taken effect; the next attempt finds out by its conflict.
+            again(RETRY);
+        }
+    }
+
+    private void conflict(Optional<VersionedValue> current) {
+        current.ifPresent(c -> seen(c.version()));
+        Optional<Lease> stored = current.map(c -> Json.read(c.value(), Lease.class));
+        if (stored.filter(this::isOwn).isPresent()) {
+            adopt(stored.get());
+            return;
+        }
+        if (holding) {
+            LOG.info("This router gives no orders any more: another one holds the lease.");
+        }
+        holding = false;
+        again(PERIOD);
+    }
+
+    /** Takes note that a server knows a newer fencing number. */
+    void fencedOff() {
+        expiry = Instant.MIN;
+    }
+
+    /** Gives the lease up, so that a successor need not wait. */
+    CompletableFuture<Void> release() {
+        released = true;
+        if (!holding) {
+            return CompletableFuture.completedFuture(null);
+        }
+        holding = false;
+        return context.platform()
+                .write(KEY, version, Json.tree(new Lease(context.incarnation(), fence, 0)))
+                .handle((result, failure) -> null);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/PlatformHealth.java
@@ -0,0 +1,18 @@
+package io.hornbeamfield.router.control.internal;
+
+/** Whether the last answer to a budget call was a failure. One budget learns it from the calls of another. */
+final class PlatformHealth {
+    private boolean away;
+
+    void succeeded() {
+        away = false;
+    }
+
+    void failed() {
+        away = true;
+    }
+
+    boolean isAway() {
+        return away;
+    }
+}
--- /dev/null
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/SeenBudget.java
@@ -0,0 +1,20 @@
+package io.hornbeamfield.router.control.internal;
+
+import io.hornbeamfield.core.budget.BudgetRecord;
+import io.hornbeamfield.net.json.Json;
+import io.hornbeamfield.net.platform.VersionedValue;
+import java.time.Instant;
+
+/** A budget record as the platform confirmed it. */
+record SeenBudget(BudgetRecord record, long version, Instant at) {
+    static final String PREFIX = "budgets/";
+
+    static SeenBudget of(VersionedValue value, Instant at) {
+        return new SeenBudget(Json.read(value.value(), BudgetRecord.class), value.version(), at);
+    }
+
+    /** Returns the tokens that other holders may still have according to their last written entries. */
+    long heldByOthers(String incarnation) {
+        return record.heldByAll() - record.holder(incarnation).held();
+    }
+}
--- /dev/null
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/Takeover.java
@@ -0,0 +1,84 @@
+package io.hornbeamfield.router.control.internal;
+
+import io.hornbeamfield.core.ledger.LedgerBatch;
+import io.hornbeamfield.core.ledger.PendingWrite;
+import io.hornbeamfield.core.ledger.TakeoverProcess;
+import io.hornbeamfield.core.ledger.TakeoverStep;
+import io.hornbeamfield.net.json.Json;
+import io.hornbeamfield.net.platform.VersionedValue;
+import io.hornbeamfield.net.platform.WriteResult;
+import java.time.Duration;
+import java.util.function.Consumer;
+
+/** Runs one {@link TakeoverProcess} against the platform, with new attempts until it has ended. */
+final class Takeover {
+    private final ControlContext context;
+    private final LedgerReader reader;
+    private final TakeoverProcess process;
+    private final Consumer<TakeoverStep> ended;
+    private final Backoff backoff = new Backoff(Duration.ofMillis(200), Duration.ofSeconds(5));
+
+    /** The last step, {@code Mine} or {@code AlreadyBilled}, is passed to the consumer. */
+    Takeover(ControlContext context, LedgerReader reader, TakeoverProcess process, Consumer<TakeoverStep> ended) {
+        this.context = context;
+        this.reader = reader;
+        this.process = process;
+        this.ended = ended;
+    }
+
+    void proceed() {
+        TakeoverStep step = process.step();
+        if (step instanceof TakeoverStep.Read read) {
+            read(read);
+        } else if (step instanceof TakeoverStep.Create create) {
+            create(create.write());
+        } else {
+            ended.accept(step);
+        }
+    }
+
+    private void read(TakeoverStep.Read read) {
+        context.loop()
+                .onDone(
+                        reader.read(read.ledger(), read.afterSequence()),
+                        found -> {
+                            backoff.succeeded();
+                            reader.keep(read.ledger(), read.afterSequence(), found.batches());
+                            process.read(found.batches(), found.more());
+                            proceed();
+                        },
+                        failure -> retry());
+    }
+
+    private void create(PendingWrite write) {
+        context.loop()
+                .onDone(
+                        context.platform().write(write.objectKey(), 0, Json.tree(write.batch())),
+                        this::created,
+                        failure -> retry());
+    }
+
+    private void created(WriteResult result) {
+        if (result instanceof WriteResult.Applied) {
+            context.count("ledger.takeovers");
+            process.applied();
+        } else if (result instanceof WriteResult.Conflict conflict
+                && conflict.current().isPresent()) {
+            process.conflict(batch(conflict.current().get()));
+        } else {
+            retry();
+            return;
+        }
+        backoff.succeeded();
+        proceed();
+    }
+
+    static LedgerBatch batch(VersionedValue value) {
+        return Json.read(value.value(), LedgerBatch.class);
+    }
+
+    private void retry() {
+        context.count("ledger.takeoverRetries");
+        context.loop().after(backoff.failed(), this::proceed);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/TransferRound.java
@@ -0,0 +1,99 @@
+package io.hornbeamfield.router.control.internal;
+
+import io.hornbeamfield.core.budget.Allotment;
+import io.hornbeamfield.core.budget.TransferGrant;
+import io.hornbeamfield.net.peer.PeerLink;
+import io.hornbeamfield.net.peer.PeerMessage;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Asks the linked peers for tokens of one budget, one after the other, those first that hold most according to the
+ * budget record. Asking all at once would draw more than is needed away from routers that need it themselves.
+ */
+final class TransferRound {
+    /** A peer that has not answered by then is passed over; its grant is still credited when it comes. */
+    static final Duration ANSWER_WAIT = Duration.ofMillis(300);
+    /** Peers whose reservations were settled meanwhile are asked again after this time. */
+    static final Duration ROUND_PAUSE = Duration.ofMillis(250);
+
+    private final ControlContext context;
+    private final PeerHub peers;
+    private final Allotment allotment;
+    private final Runnable wake;
+    private final Set<String> asked = new HashSet<>();
+    private @Nullable String openRequest;
+    private Instant answerDue = Instant.MIN;
+    private Instant nextRoundAt = Instant.MIN;
+    private Instant completedAt = Instant.MIN;
+    private boolean gaveSome;
+    private boolean lastRoundGave;
+    private long requests;
+
+    TransferRound(ControlContext context, PeerHub peers, Allotment allotment, Runnable wake) {
+        this.context = context;
+        this.peers = peers;
+        this.allotment = allotment;
+        this.wake = wake;
+    }
+
+    /** Goes on asking for the given number of tokens. */
+    void ask(long tokens, Optional<SeenBudget> seen) {
+        Instant now = context.now();
+        if ((openRequest != null && now.isBefore(answerDue)) || now.isBefore(nextRoundAt)) {
+            return;
+        }
+        openRequest = null;
+        Optional<PeerLink> next = peers.links().stream()
+                .filter(link -> !asked.contains(link.peer().incarnation()))
+                .max(Comparator.comparingLong(link -> heldBy(link, seen)));
+        if (next.isEmpty()) {
+            roundCompleted(now);
+            return;
+        }
+        asked.add(next.get().peer().incarnation());
+        requests++;
+        String id = context.incarnation() + ":" + allotment.budget() + ":" + requests;
+        allotment.expectTransfer(id);
+        openRequest = id;
+        answerDue = now.plus(ANSWER_WAIT);
+        context.count("transfers.asked");
+        next.get().send(new PeerMessage.TransferRequest(id, allotment.budget(), tokens));
+        context.loop().after(ANSWER_WAIT, wake);
+    }
+
+    private static long heldBy(PeerLink link, Optional<SeenBudget> seen) {
+        return seen.map(s -> s.record().holder(link.peer().incarnation()).held())
+                .orElse(0L);
+    }
+
+    private void roundCompleted(Instant now) {
+        completedAt = now;
+        lastRoundGave = gaveSome;
+        gaveSome = false;
+        asked.clear();
+        nextRoundAt = now.plus(ROUND_PAUSE);
+        context.loop().after(ROUND_PAUSE, wake);
+    }
+
+    /** Credits an answer. */
+    void granted(TransferGrant grant) {
+        if (allotment.receiveTransfer(grant)) {
+            gaveSome = true;
+            context.count("transfers.received");
+        }
+        if (grant.transferId().equals(openRequest)) {
+            openRequest = null;
+        }
+    }
+
+    /** Returns whether a whole round since the given time brought nothing. */
+    boolean cameBackEmpty(Instant since) {
+        return peers.links().isEmpty() || (!completedAt.isBefore(since) && !lastRoundGave && !gaveSome);
+    }
+}
