--- a/router/src/test/java/io/hornbeamfield/router/control/internal/TestRouter.java
+++ b/router/src/test/java/io/hornbeamfield/router/control/internal/TestRouter.java
@@ -29,6 +29,15 @@
     final LedgerController ledger;
 
     TestRouter(String instance, FakePlatform.Store store, ManualLoop loop) {
+        this(instance, store, loop, true);
+    }
+
+    /** Returns a router without a configuration. */
+    static TestRouter unconfigured(String instance, FakePlatform.Store store, ManualLoop loop) {
+        return new TestRouter(instance, store, loop, false);
+    }
+
+    private TestRouter(String instance, FakePlatform.Store store, ManualLoop loop, boolean configured) {
         this.incarnation = instance + "-00000001";
         this.platform = new FakePlatform(store, loop);
         PeerIdentity identity = new PeerIdentity(incarnation, instance, "a", "10.0.0.1:80");
@@ -36,7 +45,9 @@
         this.hub = new PeerHub(loop);
         this.budgets = new AllotmentController(context, hub);
         this.ledger = new LedgerController(context, Duration.ofMillis(100));
-        context.blackboard().publishConfig(new ConfigSnapshot(head(1, Map.of()), Map.of()));
+        if (configured) {
+            context.blackboard().publishConfig(new ConfigSnapshot(head(1, Map.of()), Map.of()));
+        }
         budgets.start();
     }
 
