--- /dev/null
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/Attempts.java
@@ -0,0 +1,55 @@
+package io.hornbeamfield.router.traffic.internal;
+
+import io.hornbeamfield.core.routing.BackendView;
+import java.time.Duration;
+import java.util.concurrent.Executor;
+
+/** Creates the attempts of one request, each with its own engine request id. */
+final class Attempts {
+    private static final Duration SERVICE_TIMEOUT = Duration.ofSeconds(30);
+
+    private final TrafficContext context;
+    private final CallerRequest request;
+    private final Executor executor;
+    private final Attempt.Listener listener;
+
+    Attempts(TrafficContext context, CallerRequest request, Executor executor, Attempt.Listener listener) {
+        this.context = context;
+        this.request = request;
+        this.executor = executor;
+        this.listener = listener;
+    }
+
+    Attempt create(BackendView server, int number) {
+        if (request.work() instanceof Work.Model model) {
+            EngineCalls engine = new EngineCalls(context.client(), server.address(), engineRequestId(number));
+            Duration silence = Duration.ofMillis(context.preset().streamSilenceMs());
+            return new ModelAttempt(engine, request, model, silence, executor, context.timer(), listener);
+        }
+        Work.Service service = (Work.Service) request.work();
+        return new ServiceAttempt(
+                context.client(),
+                server.address(),
+                request.key().text(),
+                service,
+                serviceTimeout(),
+                executor,
+                listener);
+    }
+
+    /** The id of a takeover run names the router that took over, because the owner may have attempts of its own. */
+    private String engineRequestId(int number) {
+        String key = request.key().text();
+        return request.key().owner().equals(context.incarnation())
+                ? key + "~" + number
+                : key + "~" + context.incarnation() + "~" + number;
+    }
+
+    private Duration serviceTimeout() {
+        return request.deadline()
+                .map(d -> Duration.between(context.clock().instant(), d))
+                .filter(left -> left.compareTo(SERVICE_TIMEOUT) < 0)
+                .filter(left -> left.toMillis() > 0)
+                .orElse(SERVICE_TIMEOUT);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/CallerHeaders.java
@@ -0,0 +1,13 @@
+package io.hornbeamfield.router.traffic.internal;
+
+/** Names of the headers that callers and relaying routers send. */
+final class CallerHeaders {
+    static final String KEY = "Idempotency-Key";
+    static final String BUDGET = "Hornbeamfield-Budget";
+    static final String DEADLINE = "Hornbeamfield-Deadline-Ms";
+    static final String PRIORITY = "Hornbeamfield-Priority";
+    static final String FROM = "Hornbeamfield-From";
+    static final String RELAY = "Hornbeamfield-Relay";
+
+    private CallerHeaders() {}
+}
--- /dev/null
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/Charges.java
@@ -0,0 +1,56 @@
+package io.hornbeamfield.router.traffic.internal;
+
+import io.hornbeamfield.core.budget.Reservation;
+import io.hornbeamfield.core.ledger.LedgerRecord.Bill;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Settles the reservations of one request and bills their sum once. Used on the executor of the request only.
+ */
+final class Charges {
+    private final TrafficContext context;
+    private final CallerRequest request;
+    private long spent;
+
+    Charges(TrafficContext context, CallerRequest request) {
+        this.context = context;
+        this.request = request;
+    }
+
+    /** Settles one attempt. An engine that reports more than was reserved is charged up to the reservation. */
+    void settle(Reservation reservation, long tokens) {
+        if (tokens > reservation.tokens()) {
+            context.counters().count("usageAboveReservation");
+        }
+        long charged = Math.min(tokens, reservation.tokens());
+        context.budgets().settle(reservation, charged);
+        spent += charged;
+    }
+
+    /** Bills the request. The future completes when the bill is stored or the wait of the preset has passed. */
+    CompletableFuture<Void> bill(String status) {
+        if (spent == 0) {
+            return CompletableFuture.completedFuture(null);
+        }
+        String id = request.key().text();
+        Bill bill = new Bill(
+                id,
+                request.workspace(),
+                request.budget(),
+                spent,
+                request.work().kind(),
+                status);
+        String owner = request.key().owner();
+        Optional<String> foreign = owner.equals(context.incarnation()) ? Optional.empty() : Optional.of(owner);
+        return context.billing()
+                .bill(bill, foreign)
+                .copy()
+                .completeOnTimeout(null, context.preset().billWaitMs(), TimeUnit.MILLISECONDS)
+                .exceptionally(failure -> {
+                    context.counters().count("billFailed");
+                    return null;
+                });
+    }
+}
--- /dev/null
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/EngineCalls.java
@@ -0,0 +1,72 @@
+package io.hornbeamfield.router.traffic.internal;
+
+import io.hornbeamfield.core.config.Priority;
+import io.hornbeamfield.net.http.HttpCall;
+import io.hornbeamfield.net.http.HttpClient;
+import io.hornbeamfield.net.http.OpenStream;
+import io.hornbeamfield.net.http.StreamListener;
+import io.hornbeamfield.net.json.Json;
+import java.io.UncheckedIOException;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/** The HTTP calls to an engine about one engine request. */
+final class EngineCalls {
+    private static final Duration CANCEL_TIMEOUT = Duration.ofSeconds(1);
+
+    private final HttpClient client;
+    private final String address;
+    private final String engineRequestId;
+
+    EngineCalls(HttpClient client, String address, String engineRequestId) {
+        this.client = client;
+        this.address = address;
+        this.engineRequestId = engineRequestId;
+    }
+
+    OpenStream start(
+            String workspace, Priority priority, byte[] body, Duration headTimeout, StreamListener listener) {
+        HttpCall call = HttpCall.post("http://" + address + "/v1/chat/completions")
+                .header("X-Request-Id", engineRequestId)
+                .header("X-Workspace", workspace)
+                .header("X-Priority", priority.name().toLowerCase(Locale.ROOT))
+                .json(body)
+                .timeout(headTimeout)
+                .build();
+        return client.open(call, listener);
+    }
+
+    /** Continues the stream at an offset. The connection is a fresh one, because an idle one may be silent too. */
+    OpenStream resume(long offset, Duration headTimeout, StreamListener listener) {
+        HttpCall call = HttpCall.get(streamUri() + "?from=" + offset)
+                .header("Connection", "close")
+                .timeout(headTimeout)
+                .build();
+        return client.open(call, listener);
+    }
+
+    /** Cancels the request and returns its usage, if the engine tells it. */
+    CompletableFuture<Optional<Usage>> cancel() {
+        HttpCall call = HttpCall.delete(streamUri())
+                .header("Connection", "close")
+                .timeout(CANCEL_TIMEOUT)
+                .build();
+        return client.send(call)
+                .thenApply(reply -> reply.isSuccess() ? usage(reply.body()) : Optional.<Usage>empty())
+                .exceptionally(failure -> Optional.empty());
+    }
+
+    private static Optional<Usage> usage(byte[] body) {
+        try {
+            return EngineEvent.usage(Json.parse(body).path("usage"));
+        } catch (UncheckedIOException e) {
+            return Optional.empty();
+        }
+    }
+
+    private String streamUri() {
+        return "http://" + address + "/v1/streams/" + engineRequestId;
+    }
+}
--- /dev/null
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/Problems.java
@@ -0,0 +1,32 @@
+package io.hornbeamfield.router.traffic.internal;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.hornbeamfield.core.result.Refusal;
+import io.hornbeamfield.net.http.HttpExchange;
+import io.hornbeamfield.net.json.Json;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Writes refusals as numbered problem details. */
+final class Problems {
+    private Problems() {}
+
+    static void reply(HttpExchange exchange, Refusal refusal) {
+        Map<String, String> headers = new HashMap<>();
+        headers.put("Content-Type", "application/problem+json");
+        refusal.retryAfterSeconds().ifPresent(s -> headers.put("Retry-After", Integer.toString(s)));
+        exchange.reply(refusal.code().httpStatus(), headers, Json.bytes(tree(refusal)));
+    }
+
+    static ObjectNode tree(Refusal refusal) {
+        ObjectNode node = JsonNodeFactory.instance.objectNode();
+        node.put("type", "https://hornbeamfield.io/codes/" + refusal.code().number());
+        node.put("title", refusal.code().title());
+        node.put("status", refusal.code().httpStatus());
+        node.put("detail", refusal.detail());
+        node.put("code", refusal.code().number());
+        node.put("ran", refusal.code().ran().wireName());
+        return node;
+    }
+}
--- /dev/null
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/ServiceAttempt.java
@@ -0,0 +1,75 @@
+package io.hornbeamfield.router.traffic.internal;
+
+import io.hornbeamfield.core.result.Refusal;
+import io.hornbeamfield.core.result.ResultCode;
+import io.hornbeamfield.net.http.CallFailure;
+import io.hornbeamfield.net.http.HttpCall;
+import io.hornbeamfield.net.http.HttpClient;
+import io.hornbeamfield.net.http.HttpReply;
+import java.time.Duration;
+import java.util.concurrent.Executor;
+import org.jspecify.annotations.Nullable;
+
+/** Sends one call to a plain service. It is never cancelled: the service may already act on it. */
+final class ServiceAttempt implements Attempt {
+    private final HttpClient client;
+    private final String address;
+    private final String key;
+    private final Work.Service work;
+    private final Duration timeout;
+    private final Executor executor;
+    private final Listener listener;
+
+    ServiceAttempt(
+            HttpClient client,
+            String address,
+            String key,
+            Work.Service work,
+            Duration timeout,
+            Executor executor,
+            Listener listener) {
+        this.client = client;
+        this.address = address;
+        this.key = key;
+        this.work = work;
+        this.timeout = timeout;
+        this.executor = executor;
+        this.listener = listener;
+    }
+
+    @Override
+    public void start() {
+        HttpCall.Builder call = HttpCall.of(work.method(), "http://" + address + work.target())
+                .header(CallerHeaders.KEY, key)
+                .header("Content-Type", work.contentType())
+                .body(work.body())
+                .timeout(timeout);
+        if (!work.repeatable()) {
+            // On a reused connection that the service has closed, "not sent" looks like "outcome not known".
+            call.header("Connection", "close");
+        }
+        client.send(call.build()).whenCompleteAsync(this::answered, executor);
+    }
+
+    private void answered(@Nullable HttpReply reply, @Nullable Throwable failure) {
+        if (reply != null) {
+            String type = reply.headers().getOrDefault("content-type", "application/octet-stream");
+            AnswerEnd end = new AnswerEnd.Service(reply.status(), type, reply.body());
+            listener.ended(new AttemptEnd.Done(end, work.worstCaseTokens()));
+        } else if (failure instanceof CallFailure f && f.nothingSent()) {
+            listener.ended(
+                    new AttemptEnd.NotSent(Refusal.of(ResultCode.NO_BACKEND, f.getMessage() + " Retry later.")
+                            .retryAfter(1)));
+        } else {
+            ResultCode code = work.repeatable() ? ResultCode.BACKEND_FAILED : ResultCode.OUTCOME_UNKNOWN;
+            listener.ended(new AttemptEnd.Failed(
+                    Refusal.of(code, failure + " Check with the service whether the call took effect."),
+                    work.worstCaseTokens()));
+        }
+    }
+
+    @Override
+    public void cancel() {
+        // The end of the call is reported as usual.
+    }
+}
--- /dev/null
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/StreamSink.java
@@ -0,0 +1,100 @@
+package io.hornbeamfield.router.traffic.internal;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.hornbeamfield.net.http.HttpExchange;
+import io.hornbeamfield.net.http.ResponseStream;
+import io.hornbeamfield.net.json.Json;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Sends a model answer as server-sent events. The writes run on their own executor, so that a slow caller delays no one
+ * else. The response head is sent with the first part, so that a refusal before it has its own HTTP status.
+ */
+final class StreamSink implements AnswerSink {
+    private final HttpExchange exchange;
+    private final String id;
+    private final Executor executor;
+    private @Nullable ResponseStream stream;
+
+    StreamSink(HttpExchange exchange, String id, Executor executor) {
+        this.exchange = exchange;
+        this.id = id;
+        this.executor = executor;
+    }
+
+    @Override
+    public boolean showsParts() {
+        return true;
+    }
+
+    @Override
+    public void chunk(Chunk chunk) {
+        executor.execute(() -> write(started(), event(chunk.offset(), chunk.content())));
+    }
+
+    @Override
+    public void end(AnswerEnd end, List<Chunk> whole) {
+        executor.execute(() -> {
+            if (end instanceof AnswerEnd.Model model) {
+                finish(model, whole.size());
+            } else if (end instanceof AnswerEnd.Refused refused) {
+                refuse(refused);
+            }
+        });
+    }
+
+    private void finish(AnswerEnd.Model model, long offset) {
+        ResponseStream s = started();
+        ObjectNode last = event(offset, "");
+        ((ObjectNode) last.path("choices").path(0)).put("finish_reason", model.finishReason());
+        last.set("usage", ModelJson.usage(model.usage()));
+        write(s, last);
+        s.write("data: [DONE]\n\n".getBytes(StandardCharsets.UTF_8));
+        s.end();
+    }
+
+    private void refuse(AnswerEnd.Refused refused) {
+        ResponseStream s = stream;
+        if (s == null) {
+            Problems.reply(exchange, refused.refusal());
+            return;
+        }
+        s.write(("event: error\ndata: " + Problems.tree(refused.refusal()) + "\n\n").getBytes(StandardCharsets.UTF_8));
+        s.end();
+    }
+
+    private ResponseStream started() {
+        ResponseStream s = stream;
+        if (s == null) {
+            s = exchange.startStream(
+                    200,
+                    Map.of("Content-Type", "text/event-stream", "Cache-Control", "no-store", CallerHeaders.KEY, id));
+            stream = s;
+        }
+        return s;
+    }
+
+    private ObjectNode event(long offset, String content) {
+        ObjectNode node = JsonNodeFactory.instance.objectNode();
+        node.put("id", id);
+        ObjectNode choice = node.putArray("choices").addObject();
+        choice.put("index", 0);
+        ObjectNode delta = choice.putObject("delta");
+        if (!content.isEmpty()) {
+            delta.put("content", content);
+        }
+        choice.putNull("finish_reason");
+        node.put("offset", offset);
+        return node;
+    }
+
+    private static void write(ResponseStream s, ObjectNode event) {
+        s.write(("data: " + event + "\n\n").getBytes(StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/TrafficContext.java
@@ -0,0 +1,35 @@
+package io.hornbeamfield.router.traffic.internal;
+
+import io.hornbeamfield.core.config.Preset;
+import io.hornbeamfield.net.http.HttpClient;
+import io.hornbeamfield.router.BackendLoad;
+import io.hornbeamfield.router.BillingService;
+import io.hornbeamfield.router.Blackboard;
+import io.hornbeamfield.router.BudgetService;
+import java.time.Clock;
+import java.util.concurrent.Executor;
+import java.util.concurrent.ScheduledExecutorService;
+
+/** What requests need from the rest of the router. */
+record TrafficContext(
+        String incarnation,
+        Blackboard board,
+        BudgetService budgets,
+        BillingService billing,
+        BackendLoad load,
+        HttpClient client,
+        Clock clock,
+        ScheduledExecutorService timer,
+        Executor pool,
+        AdmissionGate gate,
+        Retries retries,
+        ServerChoice servers,
+        Counters counters) {
+
+    /** Returns the parameters in force. Requests exist only after a configuration was adopted. */
+    Preset preset() {
+        return board.config()
+                .orElseThrow(() -> new IllegalStateException("No configuration is adopted yet."))
+                .preset();
+    }
+}
--- /dev/null
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/Work.java
@@ -0,0 +1,51 @@
+package io.hornbeamfield.router.traffic.internal;
+
+/** What a request asks for. */
+sealed interface Work {
+    /** Returns the most tokens that one attempt can spend. */
+    long worstCaseTokens();
+
+    /** Returns whether the request may be sent again when its outcome is not known. */
+    boolean repeatable();
+
+    /** Returns the kind of the bill. */
+    String kind();
+
+    /**
+     * A model request. The body is the one for the engine: always streamed, with the same token limit that the
+     * reservation covers. The prompt is the text of all messages, for the choice of a server by cached prefix.
+     */
+    record Model(String model, String prompt, long promptBound, long maxTokens, boolean stream, byte[] engineBody)
+            implements Work {
+        @Override
+        public long worstCaseTokens() {
+            return promptBound + maxTokens;
+        }
+
+        @Override
+        public boolean repeatable() {
+            return true;
+        }
+
+        @Override
+        public String kind() {
+            return "model";
+        }
+    }
+
+    /** A call to a plain service. The target is the path with its query. */
+    record Service(
+            String pool,
+            String method,
+            String target,
+            String contentType,
+            byte[] body,
+            long worstCaseTokens,
+            boolean repeatable)
+            implements Work {
+        @Override
+        public String kind() {
+            return "service";
+        }
+    }
+}
