--- a/net/src/main/java/io/hornbeamfield/net/http/HttpExchange.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/HttpExchange.java
@@ -14,6 +14,9 @@
     /** Returns a query parameter. */
     Optional<String> query(String name);
 
+    /** Returns the query as it was sent, without the question mark. */
+    Optional<String> rawQuery();
+
     /** Returns a header, whatever the case of its name. */
     Optional<String> header(String name);
 
--- a/net/src/main/java/io/hornbeamfield/net/http/internal/Exchange.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/Exchange.java
@@ -41,10 +41,11 @@
 
     /**
      * A reused connection may have been closed by the server, and the failure would look as if the request had been
-     * sent. Only reads may take that risk.
+     * sent. Only reads may take that risk. A call that asks for the connection to be closed gets a fresh one, because
+     * an idle connection may have gone silent.
      */
     boolean mayReuseConnection() {
-        return !call.method().equals("POST");
+        return !call.method().equals("POST") && !"close".equalsIgnoreCase(call.headers().get("Connection"));
     }
 
     void sendOn(Connection<?> c) {
--- a/net/src/main/java/io/hornbeamfield/net/http/internal/GrizzlyExchange.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/GrizzlyExchange.java
@@ -53,6 +53,11 @@
         return Optional.ofNullable(request.getParameter(name));
     }
 
+    @Override
+    public Optional<String> rawQuery() {
+        return Optional.ofNullable(request.getQueryString());
+    }
+
     @Override
     public Optional<String> header(String name) {
         return Optional.ofNullable(request.getHeader(name));
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/Answer.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/Answer.java
@@ -69,11 +69,12 @@
         return true;
     }
 
-    synchronized long nextOffset() {
-        return chunks.size();
-    }
-
-    synchronized boolean finished() {
-        return end.isPresent();
+    /** Returns the bytes that this answer occupies, roughly. */
+    synchronized long bytes() {
+        long total = 64;
+        for (Chunk c : chunks) {
+            total += 40 + 2L * c.content().length();
+        }
+        return total + (end.orElse(null) instanceof AnswerEnd.Service s ? s.body().length : 0);
     }
 }
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/RequestRun.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/RequestRun.java
@@ -13,7 +13,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Executor;
-import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -26,7 +26,7 @@
     private final TrafficContext context;
     private final CallerRequest request;
     private final Executor executor;
-    private final Consumer<AnswerEnd> onFinished;
+    private final UnaryOperator<AnswerEnd> onEnd;
     private final Answer answer = new Answer();
     private final Charges charges;
     private final Attempts attempts;
@@ -40,10 +40,10 @@
     private boolean mayHaveRun;
     private boolean abandoned;
 
-    RequestRun(TrafficContext context, CallerRequest request, Consumer<AnswerEnd> onFinished) {
+    RequestRun(TrafficContext context, CallerRequest request, UnaryOperator<AnswerEnd> onEnd) {
         this.context = context;
         this.request = request;
-        this.onFinished = onFinished;
+        this.onEnd = onEnd;
         this.executor = MoreExecutors.newSequentialExecutor(context.pool());
         this.charges = new Charges(context, request);
         this.attempts = new Attempts(context, request, executor, this);
@@ -80,7 +80,7 @@
             permit = ok.value();
             reserve();
         } else if (result instanceof Result.Refused<AdmissionGate.Permit> refused) {
-            finish(new AnswerEnd.Refused(refused.refusal()), "failed");
+            giveUp(refused.refusal());
         }
     }
 
@@ -233,8 +233,9 @@
         charges.bill(status)
                 .whenCompleteAsync(
                         (done, failure) -> {
-                            onFinished.accept(end);
-                            answer.finish(end);
+                            AnswerEnd published = onEnd.apply(end);
+                            context.counters().ended(published);
+                            answer.finish(published);
                         },
                         executor);
     }
