--- a/net/src/main/java/io/hornbeamfield/net/http/internal/Exchange.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/Exchange.java
@@ -45,7 +45,8 @@
      * an idle connection may have gone silent.
      */
     boolean mayReuseConnection() {
-        return !call.method().equals("POST") && !"close".equalsIgnoreCase(call.headers().get("Connection"));
+        return !call.method().equals("POST")
+                && !"close".equalsIgnoreCase(call.headers().get("Connection"));
     }
 
     void sendOn(Connection<?> c) {
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/Attempts.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/Attempts.java
@@ -46,10 +46,7 @@
     }
 
     private Duration serviceTimeout() {
-        return request.deadline()
-                .map(d -> Duration.between(context.clock().instant(), d))
-                .filter(left -> left.compareTo(SERVICE_TIMEOUT) < 0)
-                .filter(left -> left.toMillis() > 0)
-                .orElse(SERVICE_TIMEOUT);
+        Duration left = request.deadline().remaining(context.clock()).plusMillis(1);
+        return left.compareTo(SERVICE_TIMEOUT) < 0 ? left : SERVICE_TIMEOUT;
     }
 }
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/CallerRequest.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/CallerRequest.java
@@ -1,9 +1,8 @@
 package io.hornbeamfield.router.traffic.internal;
 
+import io.hornbeamfield.core.admission.Deadline;
 import io.hornbeamfield.core.config.Priority;
 import io.hornbeamfield.core.identity.RequestKey;
-import java.time.Instant;
-import java.util.Optional;
 
 /**
  * A checked request of a caller. The fingerprint identifies its content. {@code keyFromCaller} is false for a key that
@@ -15,7 +14,7 @@
         String workspace,
         String budget,
         Priority priority,
-        Optional<Instant> deadline,
+        Deadline deadline,
         long from,
         String fingerprint,
         Work work) {}
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/Charges.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/Charges.java
@@ -6,9 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
-/**
- * Settles the reservations of one request and bills their sum once. Used on the executor of the request only.
- */
+/** Settles the reservations of one request and bills their sum once. Used on the executor of the request only. */
 final class Charges {
     private final TrafficContext context;
     private final CallerRequest request;
@@ -36,12 +34,7 @@
         }
         String id = request.key().text();
         Bill bill = new Bill(
-                id,
-                request.workspace(),
-                request.budget(),
-                spent,
-                request.work().kind(),
-                status);
+                id, request.workspace(), request.budget(), spent, request.work().kind(), status);
         String owner = request.key().owner();
         Optional<String> foreign = owner.equals(context.incarnation()) ? Optional.empty() : Optional.of(owner);
         return context.billing()
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/EngineCalls.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/EngineCalls.java
@@ -26,8 +26,7 @@
         this.engineRequestId = engineRequestId;
     }
 
-    OpenStream start(
-            String workspace, Priority priority, byte[] body, Duration headTimeout, StreamListener listener) {
+    OpenStream start(String workspace, Priority priority, byte[] body, Duration headTimeout, StreamListener listener) {
         HttpCall call = HttpCall.post("http://" + address + "/v1/chat/completions")
                 .header("X-Request-Id", engineRequestId)
                 .header("X-Workspace", workspace)
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/ModelAttempt.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/ModelAttempt.java
@@ -184,18 +184,18 @@
 
     void broken(CallFailure failure) {
         if (failure.nothingSent()) {
-            failedConnect(failure);
+            failedConnect(String.valueOf(failure.getMessage()));
         } else {
             resume();
         }
     }
 
-    private void failedConnect(CallFailure failure) {
+    private void failedConnect(String reason) {
         if (connection == 1) {
-            end(new AttemptEnd.NotSent(Refusal.of(ResultCode.NO_BACKEND, failure.getMessage() + " Retry later.")
-                    .retryAfter(1)));
+            end(new AttemptEnd.NotSent(
+                    Refusal.of(ResultCode.NO_BACKEND, reason + " Retry later.").retryAfter(1)));
         } else if (++failedConnects >= MAX_FAILED_CONNECTS) {
-            fail(failure.getMessage());
+            fail(reason);
         } else {
             closeConnection();
             int given = connection;
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/ModelRequestParser.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/ModelRequestParser.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.base.Utf8;
 import io.hornbeamfield.core.result.ResultCode;
+import io.hornbeamfield.core.routing.PromptPrefix;
 import io.hornbeamfield.net.json.Json;
 import java.io.UncheckedIOException;
 import java.util.Set;
@@ -48,9 +49,9 @@
         engineBody.put("max_tokens", maxTokens);
         engineBody.put("stream", true);
         PASSED_ON.stream().filter(root::has).forEach(f -> engineBody.set(f, root.path(f)));
-        StringBuilder prompt = new StringBuilder();
-        long bound = readMessages(root.path("messages"), prompt);
-        return new Work.Model(model, prompt.toString(), bound, maxTokens, stream(root), Json.bytes(engineBody));
+        PromptPrefix.Builder prefixes = PromptPrefix.builder();
+        long bound = readMessages(root.path("messages"), prefixes);
+        return new Work.Model(model, prefixes.build(), bound, maxTokens, stream(root), Json.bytes(engineBody));
     }
 
     private static JsonNode json(byte[] body) {
@@ -94,7 +95,7 @@
         return node.asLong();
     }
 
-    private static long readMessages(JsonNode messages, StringBuilder prompt) {
+    private static long readMessages(JsonNode messages, PromptPrefix.Builder prefixes) {
         if (!messages.isArray() || messages.isEmpty() || messages.size() > MAX_MESSAGES) {
             throw Checked.malformed("Field \"messages\" must be a list of 1 to " + MAX_MESSAGES + " messages.");
         }
@@ -109,7 +110,7 @@
                 throw Checked.malformed("A message has only the fields \"role\" and \"content\".");
             }
             bound += utf8Length(content.asText()) + TOKENS_PER_MESSAGE;
-            prompt.append(content.asText()).append('\n');
+            prefixes.message(message.path("role").asText(), content.asText());
         }
         return bound;
     }
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/Relay.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/Relay.java
@@ -69,9 +69,10 @@
                 .body(exchange.body())
                 .timeout(LIMIT);
         PASSED_ON.forEach(name -> exchange.header(name).ifPresent(value -> call.header(name, value)));
-        request.deadline()
-                .map(d -> Duration.between(context.clock().instant(), d).toMillis())
-                .ifPresent(ms -> call.header(CallerHeaders.DEADLINE, Long.toString(Math.max(0, ms))));
+        if (request.deadline().isBounded()) {
+            long left = request.deadline().remaining(context.clock()).toMillis();
+            call.header(CallerHeaders.DEADLINE, Long.toString(left));
+        }
         RelayedAnswer answer = new RelayedAnswer(
                 exchange,
                 executor,
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/RequestRun.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/RequestRun.java
@@ -1,19 +1,22 @@
 package io.hornbeamfield.router.traffic.internal;
 
+import com.google.common.util.concurrent.MoreExecutors;
+import io.hornbeamfield.core.admission.AdmissionQueue;
+import io.hornbeamfield.core.admission.AdmissionRequest;
+import io.hornbeamfield.core.admission.AdmissionSlot;
+import io.hornbeamfield.core.admission.Waiter;
 import io.hornbeamfield.core.budget.Reservation;
 import io.hornbeamfield.core.result.Ran;
 import io.hornbeamfield.core.result.Refusal;
 import io.hornbeamfield.core.result.Result;
 import io.hornbeamfield.core.result.ResultCode;
 import io.hornbeamfield.core.routing.BackendView;
-import com.google.common.util.concurrent.MoreExecutors;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Executor;
-import java.util.function.UnaryOperator;
+import java.util.function.BiConsumer;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -26,12 +29,13 @@
     private final TrafficContext context;
     private final CallerRequest request;
     private final Executor executor;
-    private final UnaryOperator<AnswerEnd> onEnd;
+    private final BiConsumer<RequestRun, AnswerEnd> onEnd;
     private final Answer answer = new Answer();
     private final Charges charges;
     private final Attempts attempts;
     private final Set<String> tried = new HashSet<>();
-    private AdmissionGate.@Nullable Permit permit;
+    private AdmissionQueue.@Nullable Pending pending;
+    private @Nullable AdmissionSlot slot;
     private @Nullable Reservation reservation;
     private @Nullable BackendView server;
     private @Nullable Attempt attempt;
@@ -40,7 +44,7 @@
     private boolean mayHaveRun;
     private boolean abandoned;
 
-    RequestRun(TrafficContext context, CallerRequest request, UnaryOperator<AnswerEnd> onEnd) {
+    RequestRun(TrafficContext context, CallerRequest request, BiConsumer<RequestRun, AnswerEnd> onEnd) {
         this.context = context;
         this.request = request;
         this.onEnd = onEnd;
@@ -58,50 +62,62 @@
     }
 
     void start() {
-        context.retries().requestStarted();
-        context.gate()
-                .enter(request.priority(), request.deadline())
-                .whenCompleteAsync((result, failure) -> admitted(orBug(result, failure)), executor);
+        executor.execute(() -> {
+            context.retries().requestStarted(context.preset().retryRatio());
+            pending = context.queue()
+                    .submit(
+                            new AdmissionRequest(
+                                    request.workspace(),
+                                    request.priority(),
+                                    request.deadline(),
+                                    request.work().worstCaseTokens()),
+                            new Turn());
+        });
+    }
+
+    /** Moves the decision of the admission queue to the executor of the request. */
+    private final class Turn implements Waiter {
+        @Override
+        public void start(AdmissionSlot granted) {
+            executor.execute(() -> {
+                slot = granted;
+                reserve();
+            });
+        }
+
+        @Override
+        public void refuse(Refusal refusal) {
+            executor.execute(() -> giveUp(refusal));
+        }
     }
 
     /** Stops a request that no caller waits for and that no caller can ask for again. */
     void abandon() {
         executor.execute(() -> {
             abandoned = true;
+            AdmissionQueue.Pending waiting = pending;
             Attempt current = attempt;
             if (current != null) {
                 current.cancel();
+            } else if (waiting != null && waiting.cancel()) {
+                cancelled();
             }
         });
     }
 
-    private void admitted(Result<AdmissionGate.Permit> result) {
-        if (result instanceof Result.Ok<AdmissionGate.Permit> ok) {
-            permit = ok.value();
-            reserve();
-        } else if (result instanceof Result.Refused<AdmissionGate.Permit> refused) {
-            giveUp(refused.refusal());
-        }
-    }
-
     private void reserve() {
         if (abandoned) {
             cancelled();
             return;
         }
-        Duration wait = Duration.ofMillis(context.preset().admissionWaitMs());
-        Duration left = request.deadline()
-                .map(d -> Duration.between(context.clock().instant(), d))
-                .orElse(wait);
-        if (left.isNegative()) {
+        if (request.deadline().hasPassed(context.clock())) {
             giveUp(deadlinePassed());
             return;
         }
+        Duration left = request.deadline().remaining(context.clock());
+        Duration wait = Duration.ofMillis(context.preset().admissionWaitMs());
         context.budgets()
-                .reserve(
-                        request.budget(),
-                        request.work().worstCaseTokens(),
-                        left.compareTo(wait) < 0 ? left : wait)
+                .reserve(request.budget(), request.work().worstCaseTokens(), left.compareTo(wait) < 0 ? left : wait)
                 .whenCompleteAsync((result, failure) -> reserved(orBug(result, failure)), executor);
     }
 
@@ -127,7 +143,7 @@
         server = choice.get();
         tried.add(choice.get().id());
         attemptCount++;
-        context.load().sent(choice.get().id());
+        context.servers().sent(request.work(), choice.get());
         attempt = attempts.create(choice.get(), attemptCount);
         attempt.start();
     }
@@ -136,8 +152,7 @@
         if (abandoned) {
             return Optional.of(Refusal.of(ResultCode.OUTCOME_UNKNOWN, "The caller left."));
         }
-        Instant now = context.clock().instant();
-        return request.deadline().filter(now::isAfter).map(d -> deadlinePassed());
+        return request.deadline().hasPassed(context.clock()) ? Optional.of(deadlinePassed()) : Optional.empty();
     }
 
     @Override
@@ -226,18 +241,13 @@
 
     /** The end of the answer waits for its bill, so that a router that dies later has lost no bill. */
     private void finish(AnswerEnd end, String status) {
-        AdmissionGate.Permit held = permit;
-        if (held != null) {
-            held.release();
+        AdmissionSlot held = slot;
+        if (held != null && status.equals("complete")) {
+            held.finished();
+        } else if (held != null) {
+            held.close();
         }
-        charges.bill(status)
-                .whenCompleteAsync(
-                        (done, failure) -> {
-                            AnswerEnd published = onEnd.apply(end);
-                            context.counters().ended(published);
-                            answer.finish(published);
-                        },
-                        executor);
+        charges.bill(status).whenCompleteAsync((done, failure) -> onEnd.accept(this, end), executor);
     }
 
     private static <T> Result<T> orBug(@Nullable Result<T> result, @Nullable Throwable failure) {
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/RequestTable.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/RequestTable.java
@@ -10,6 +10,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Decides for each request whether it runs here, joins a running one, replays a finished one or is relayed to the owner
@@ -21,6 +23,7 @@
     private final Relay relay;
     private final NewWork newWork;
     private final Map<String, RequestRun> running = new HashMap<>();
+    private final AtomicInteger open = new AtomicInteger();
 
     RequestTable(TrafficContext context, RequestRegistry<Answer> registry, Relay relay) {
         this.context = context;
@@ -44,7 +47,7 @@
     }
 
     private void runWithoutKey(HttpExchange exchange, CallerRequest request, AnswerSink sink) {
-        Optional<Refusal> refusal = newWork.refusal(request.priority());
+        Optional<Refusal> refusal = newWork.refusal();
         if (refusal.isPresent()) {
             refuse(sink, refusal.get());
             return;
@@ -87,7 +90,8 @@
         }
     }
 
-    private record Decision(Admission<Answer> admission, @org.jspecify.annotations.Nullable RequestRun run, boolean isNew) {}
+    private record Decision(
+            Admission<Answer> admission, @Nullable RequestRun run, boolean isNew) {}
 
     private synchronized Decision admit(CallerRequest request) {
         boolean own = request.key().owner().equals(context.incarnation());
@@ -95,7 +99,7 @@
                 ? registry.admit(request.key(), request.workspace(), request.fingerprint())
                 : registry.admitForUnreachableOwner(request.key(), request.workspace(), request.fingerprint());
         if (admission instanceof Admission.Run<Answer>) {
-            Optional<Refusal> refusal = newWork.refusal(request.priority());
+            Optional<Refusal> refusal = newWork.refusal();
             if (refusal.isPresent()) {
                 return new Decision(new Admission.Refused<>(remember(request, refusal.get())), null, false);
             }
@@ -112,10 +116,30 @@
     }
 
     private RequestRun createRun(CallerRequest request) {
-        RunEnd end = new RunEnd(request);
-        RequestRun run = new RequestRun(context, request, end::apply);
-        end.run = run;
-        return run;
+        open.incrementAndGet();
+        return new RequestRun(context, request, this::ended);
+    }
+
+    /** Publishes the end of a run. The registry decides about a refusal first: it may have to state less. */
+    private void ended(RequestRun run, AnswerEnd end) {
+        CallerRequest request = run.request();
+        AnswerEnd published = end;
+        if (request.keyFromCaller() && end instanceof AnswerEnd.Refused refused) {
+            published = new AnswerEnd.Refused(remember(request, refused.refusal()));
+        }
+        context.counters().ended(published);
+        run.answer().finish(published);
+        if (request.keyFromCaller()) {
+            if (!(published instanceof AnswerEnd.Refused)) {
+                registry.complete(request.key(), request.workspace(), run.answer());
+            }
+            forget(request);
+        }
+        open.decrementAndGet();
+    }
+
+    private synchronized void forget(CallerRequest request) {
+        running.remove(scoped(request));
     }
 
     private static void deliver(Result<Answer> result, AnswerSink sink, long from) {
@@ -144,8 +168,9 @@
         return request.workspace() + " " + request.key().text();
     }
 
-    synchronized int runningKeyed() {
-        return running.size();
+    /** Returns the number of requests that run here. */
+    int open() {
+        return open.get();
     }
 
     int remembered() {
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/ServiceAttempt.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/ServiceAttempt.java
@@ -57,9 +57,8 @@
             AnswerEnd end = new AnswerEnd.Service(reply.status(), type, reply.body());
             listener.ended(new AttemptEnd.Done(end, work.worstCaseTokens()));
         } else if (failure instanceof CallFailure f && f.nothingSent()) {
-            listener.ended(
-                    new AttemptEnd.NotSent(Refusal.of(ResultCode.NO_BACKEND, f.getMessage() + " Retry later.")
-                            .retryAfter(1)));
+            listener.ended(new AttemptEnd.NotSent(Refusal.of(ResultCode.NO_BACKEND, f.getMessage() + " Retry later.")
+                    .retryAfter(1)));
         } else {
             ResultCode code = work.repeatable() ? ResultCode.BACKEND_FAILED : ResultCode.OUTCOME_UNKNOWN;
             listener.ended(new AttemptEnd.Failed(
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/ServiceRequestParser.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/ServiceRequestParser.java
@@ -44,9 +44,16 @@
      * way is refused.
      */
     private static String normalized(String path) {
-        if (path.contains("//") || path.contains("/./") || path.contains("/../") || path.endsWith("/..")
-                || path.endsWith("/.") || path.contains("\\") || path.contains(";") || path.contains("%")) {
-            throw Checked.malformed("The path must be plain: no empty or dot segments, no escapes, no \";\" or \"\\\".");
+        if (path.contains("//")
+                || path.contains("/./")
+                || path.contains("/../")
+                || path.endsWith("/..")
+                || path.endsWith("/.")
+                || path.contains("\\")
+                || path.contains(";")
+                || path.contains("%")) {
+            throw Checked.malformed(
+                    "The path must be plain: no empty or dot segments, no escapes, no \";\" or \"\\\".");
         }
         return path;
     }
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/StreamSink.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/StreamSink.java
@@ -4,11 +4,9 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.hornbeamfield.net.http.HttpExchange;
 import io.hornbeamfield.net.http.ResponseStream;
-import io.hornbeamfield.net.json.Json;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.Executor;
 import org.jspecify.annotations.Nullable;
 
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/TrafficContext.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/TrafficContext.java
@@ -1,5 +1,7 @@
 package io.hornbeamfield.router.traffic.internal;
 
+import io.hornbeamfield.core.admission.AdmissionQueue;
+import io.hornbeamfield.core.admission.RetryBudget;
 import io.hornbeamfield.core.config.Preset;
 import io.hornbeamfield.net.http.HttpClient;
 import io.hornbeamfield.router.BackendLoad;
@@ -21,8 +23,8 @@
         Clock clock,
         ScheduledExecutorService timer,
         Executor pool,
-        AdmissionGate gate,
-        Retries retries,
+        AdmissionQueue queue,
+        RetryBudget retries,
         ServerChoice servers,
         Counters counters) {
 
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/Work.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/Work.java
@@ -1,5 +1,8 @@
 package io.hornbeamfield.router.traffic.internal;
 
+import io.hornbeamfield.core.routing.PromptPrefix;
+import java.util.List;
+
 /** What a request asks for. */
 sealed interface Work {
     /** Returns the most tokens that one attempt can spend. */
@@ -13,9 +16,15 @@
 
     /**
      * A model request. The body is the one for the engine: always streamed, with the same token limit that the
-     * reservation covers. The prompt is the text of all messages, for the choice of a server by cached prefix.
+     * reservation covers. The prefixes of the prompt are for the choice of a server that has one of them in its cache.
      */
-    record Model(String model, String prompt, long promptBound, long maxTokens, boolean stream, byte[] engineBody)
+    record Model(
+            String model,
+            List<PromptPrefix> prefixes,
+            long promptBound,
+            long maxTokens,
+            boolean stream,
+            byte[] engineBody)
             implements Work {
         @Override
         public long worstCaseTokens() {
