Search the decision logic over random schedules with faults

Cause: P1, P2, P4 and P5 depend on combinations of failures that single tests do not reach. Change: a model of routers, platform, clients and messages drives the real allotments, registries, ledger writers and takeovers; schedules are seeded and shrunk. Each mechanism is also replaced by a faulty variant.

--- a/core/src/main/java/io/hornbeamfield/core/identity/RefusedKeyFilter.java
+++ b/core/src/main/java/io/hornbeamfield/core/identity/RefusedKeyFilter.java
@@ -1,5 +1,9 @@
 package io.hornbeamfield.core.identity;
 
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Map;
+
 /**
  * Remembers keys that were refused while there was no room for an entry. Each cell keeps the newest issue time of the
  * refused keys that fall into it; an unknown key of that time or older in the same cell counts as refused. This can
@@ -10,23 +14,29 @@
     private static final int ROWS = 1024;
     private static final int CELLS_PER_ROW = 64;
 
-    private final long[] newestRefused = new long[ROWS * CELLS_PER_ROW];
-
-    RefusedKeyFilter() {
-        java.util.Arrays.fill(newestRefused, Long.MIN_VALUE);
-    }
+    private final Map<Integer, long[]> rows = new HashMap<>();
 
     void add(String workspace, RequestKey key) {
-        int cell = cell(workspace, key);
-        newestRefused[cell] = Math.max(newestRefused[cell], key.issuedEpochSecond());
+        long[] cells = rows.computeIfAbsent(row(workspace), r -> emptyRow());
+        cells[cell(key)] = Math.max(cells[cell(key)], key.issuedEpochSecond());
     }
 
     boolean mayContain(String workspace, RequestKey key) {
-        return key.issuedEpochSecond() <= newestRefused[cell(workspace, key)];
+        long[] cells = rows.get(row(workspace));
+        return cells != null && key.issuedEpochSecond() <= cells[cell(key)];
+    }
+
+    private static long[] emptyRow() {
+        long[] cells = new long[CELLS_PER_ROW];
+        Arrays.fill(cells, Long.MIN_VALUE);
+        return cells;
+    }
+
+    private static int row(String workspace) {
+        return Math.floorMod(workspace.hashCode(), ROWS);
     }
 
-    private static int cell(String workspace, RequestKey key) {
-        int row = Math.floorMod(workspace.hashCode(), ROWS);
-        return row * CELLS_PER_ROW + Math.floorMod(key.hashCode() * 0x9E3779B9 >>> 8, CELLS_PER_ROW);
+    private static int cell(RequestKey key) {
+        return Math.floorMod(key.nonce().hashCode() ^ key.owner().hashCode(), CELLS_PER_ROW);
     }
 }
--- a/core/src/main/java/io/hornbeamfield/core/ledger/LedgerWriter.java
+++ b/core/src/main/java/io/hornbeamfield/core/ledger/LedgerWriter.java
@@ -55,8 +55,8 @@
     }
 
     /**
-     * Adds a bill that a {@link TakeoverProcess} granted to this incarnation. Returns false if the request was taken
-     * over again in the meantime, or if it was already billed here.
+     * Adds a bill that a {@link TakeoverProcess} granted to this incarnation, unless the request was billed here
+     * before. Returns false if the request was taken over again in the meantime.
      */
     public synchronized boolean addTakenOver(Bill bill, TakeoverStep.Mine grant) {
         String id = bill.requestId();
@@ -65,10 +65,9 @@
         }
         takenOver.remove(id);
         takenBack.merge(id, grant.ownSequence(), Math::max);
-        if (!billedByTakeover.add(id)) {
-            return false;
+        if (billedByTakeover.add(id)) {
+            pending.putIfAbsent(id, bill);
         }
-        pending.putIfAbsent(id, bill);
         return true;
     }
 
--- /dev/null
+++ b/core/src/test/java/io/hornbeamfield/core/search/RouterModel.java
@@ -0,0 +1,321 @@
+package io.hornbeamfield.core.search;
+
+import io.hornbeamfield.core.budget.Allotment;
+import io.hornbeamfield.core.budget.BudgetRecord;
+import io.hornbeamfield.core.budget.BudgetUpdate;
+import io.hornbeamfield.core.budget.BudgetUpdate.Kind;
+import io.hornbeamfield.core.budget.Reservation;
+import io.hornbeamfield.core.identity.Admission;
+import io.hornbeamfield.core.identity.RegistryLimits;
+import io.hornbeamfield.core.identity.RequestRegistry;
+import io.hornbeamfield.core.ledger.LedgerBatch;
+import io.hornbeamfield.core.ledger.LedgerRecord.Bill;
+import io.hornbeamfield.core.ledger.LedgerWriter;
+import io.hornbeamfield.core.ledger.PendingWrite;
+import io.hornbeamfield.core.ledger.SettledBills;
+import io.hornbeamfield.core.ledger.TakeoverProcess;
+import io.hornbeamfield.core.ledger.TakeoverStep;
+import io.hornbeamfield.core.result.Ran;
+import io.hornbeamfield.core.result.Refusal;
+import io.hornbeamfield.core.result.ResultCode;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/** One router incarnation that drives the real decision logic over the messages of a {@link World}. */
+final class RouterModel {
+    enum Answer {
+        COMPLETE,
+        NOT_RUN,
+        UNKNOWN
+    }
+
+    record Running(Request request, Reservation reservation, int budget) {}
+
+    /** A bill that waits for its takeover. */
+    static final class Takeover {
+        final Bill bill;
+        final TakeoverProcess process;
+        int operation;
+
+        Takeover(Bill bill, TakeoverProcess process) {
+            this.bill = bill;
+            this.process = process;
+        }
+    }
+
+    final World world;
+    final int index;
+    final String incarnation;
+    final Allotment[] allotments;
+    final BudgetRecord[] seen;
+    final long[] seenVersion;
+    final int[] busy;
+    final RequestRegistry<String> registry;
+    final LedgerWriter writer;
+    final Deque<Running> running = new ArrayDeque<>();
+    final Deque<Takeover> takeovers = new ArrayDeque<>();
+    final Map<String, Integer> refusals = new HashMap<>();
+    final Set<String> creditedTransfers = new HashSet<>();
+    boolean crashed;
+    boolean paused;
+    private int ledgerOperation;
+
+    RouterModel(World world, int index, int budgets) {
+        this.world = world;
+        this.index = index;
+        incarnation = "r" + index + "-0000000" + index;
+        allotments = new Allotment[budgets];
+        seen = new BudgetRecord[budgets];
+        seenVersion = new long[budgets];
+        busy = new int[budgets];
+        for (int b = 0; b < budgets; b++) {
+            allotments[b] = new Allotment("b" + b, incarnation);
+            see(b, world.platform.get("budgets/b" + b, 0));
+        }
+        var limits = new RegistryLimits(2, 12, 12, Duration.ofSeconds(600));
+        registry = new RequestRegistry<>(incarnation, world.clock, limits, String::length);
+        writer = new LedgerWriter(incarnation, world::nextBatchId, 2);
+    }
+
+    boolean active() {
+        return !crashed && !paused;
+    }
+
+    // Budgets
+
+    boolean update(int b, Optional<BudgetUpdate> planned) {
+        if (planned.isEmpty()) {
+            return false;
+        }
+        BudgetUpdate update = planned.get();
+        long version = seenVersion[b];
+        int operation = world.nextOperation();
+        busy[b] = operation;
+        world.mechanisms.sent(allotments[b], update, version);
+        world.toPlatform("update " + update.kind() + " by " + index, () -> {
+            boolean applied = world.platform.put("budgets/b" + b, version, update.record());
+            if (applied && update.kind() == Kind.CLOSE) {
+                world.folded(index, b);
+            }
+            Platform.Versioned current = world.platform.get("budgets/b" + b, 0);
+            world.send("budget answer", index, () -> {
+                answered(b, operation, current);
+                if (applied && update.kind() == Kind.RETURN) {
+                    world.mechanisms.returned(allotments[b], update);
+                }
+            });
+        });
+        return true;
+    }
+
+    boolean read(int b, int behind) {
+        int operation = world.nextOperation();
+        busy[b] = operation;
+        world.toPlatform("read by " + index, () -> {
+            Platform.Versioned value = world.platform.get("budgets/b" + b, behind);
+            world.send("read answer", index, () -> answered(b, operation, value));
+        });
+        return true;
+    }
+
+    private void answered(int b, int operation, Platform.Versioned value) {
+        if (busy[b] == operation) {
+            busy[b] = 0;
+        }
+        see(b, value);
+    }
+
+    private void see(int b, Platform.Versioned value) {
+        seen[b] = (BudgetRecord) value.value();
+        seenVersion[b] = value.version();
+        allotments[b].observe(seen[b], value.version());
+    }
+
+    // Requests
+
+    void handle(Request request, Consumer<Answer> reply) {
+        boolean own = request.key.owner().equals(incarnation);
+        RouterModel owner = world.routers[request.owner];
+        if (!own && world.reachable(index, request.owner)) {
+            world.send("relay", request.owner, () -> owner.handle(request, reply));
+            return;
+        }
+        if (!own && !request.repeatable) {
+            reply.accept(Answer.UNKNOWN);
+            return;
+        }
+        String scope = world.mechanisms.scope(request.key, refusals.getOrDefault(request.key.text(), 0));
+        Admission<String> admission = own
+                ? registry.admit(request.key, scope, "f")
+                : registry.admitForUnreachableOwner(request.key, scope, "f");
+        if (admission instanceof Admission.Run<String>) {
+            run(request, scope, reply);
+        } else if (admission instanceof Admission.Join<String> join) {
+            join.end().thenAccept(end -> end.fold(done -> answer(reply, Answer.COMPLETE), r -> answer(reply, of(r))));
+        } else if (admission instanceof Admission.Replay<String>) {
+            reply.accept(Answer.COMPLETE);
+        } else if (admission instanceof Admission.Refused<String> refused) {
+            reply.accept(of(refused.refusal()));
+        }
+    }
+
+    private static Answer of(Refusal refusal) {
+        return refusal.code().ran() == Ran.NO ? Answer.NOT_RUN : Answer.UNKNOWN;
+    }
+
+    private static boolean answer(Consumer<Answer> reply, Answer answer) {
+        reply.accept(answer);
+        return true;
+    }
+
+    private void run(Request request, String scope, Consumer<Answer> reply) {
+        Optional<Reservation> reservation = allotments[request.budget].reserve(request.tokens);
+        if (reservation.isEmpty()) {
+            refusals.merge(request.key.text(), 1, Integer::sum);
+            Refusal busyHere = Refusal.of(ResultCode.BUDGET_BUSY, "test");
+            reply.accept(of(registry.refuse(request.key, scope, "f", busyHere)));
+            return;
+        }
+        request.runs++;
+        running.add(new Running(request, reservation.get(), request.budget));
+        replies.computeIfAbsent(request, r -> new ArrayList<>()).add(reply);
+    }
+
+    private final Map<Request, List<Consumer<Answer>>> replies = new HashMap<>();
+
+    boolean finish(boolean inFull) {
+        Running r = running.poll();
+        if (r == null) {
+            return false;
+        }
+        long used = inFull ? r.reservation().tokens() : r.reservation().tokens() / 2;
+        allotments[r.budget()].settle(r.reservation(), used);
+        Request request = r.request();
+        request.completedAt.add(index);
+        registry.complete(
+                request.key,
+                world.mechanisms.scope(request.key, refusals.getOrDefault(request.key.text(), 0)),
+                "outcome");
+        bill(new Bill(request.key.text(), "w", "b" + r.budget(), used, "model", "complete"), request.owner);
+        List<Consumer<Answer>> waiting = replies.remove(request);
+        if (waiting != null) {
+            waiting.forEach(reply -> reply.accept(Answer.COMPLETE));
+        }
+        return true;
+    }
+
+    // Billing
+
+    private void bill(Bill bill, int owner) {
+        if (owner == index || !world.mechanisms.takesOverBeforeBilling()) {
+            if (!writer.add(bill)) {
+                dropped(List.of(bill));
+            }
+        } else {
+            takeOver(bill, world.routers[owner].incarnation);
+        }
+    }
+
+    private void takeOver(Bill bill, String owner) {
+        takeovers.add(
+                new Takeover(bill, new TakeoverProcess(bill.requestId(), owner, incarnation, world::nextBatchId)));
+    }
+
+    private void dropped(List<Bill> bills) {
+        if (world.mechanisms.followsUpDroppedBills()) {
+            bills.forEach(b ->
+                    takeOver(b, b.requestId().substring(0, b.requestId().indexOf('.'))));
+        }
+    }
+
+    boolean flush() {
+        Optional<PendingWrite> next = writer.next();
+        if (next.isEmpty()) {
+            return false;
+        }
+        int operation = world.nextOperation();
+        ledgerOperation = operation;
+        create(next.get(), stored -> {
+            if (ledgerOperation == operation) {
+                ledgerOperation = 0;
+                SettledBills settled =
+                        stored.isEmpty() ? writer.applied() : world.mechanisms.conflict(writer, stored.get());
+                dropped(settled.takenOver());
+            }
+        });
+        return true;
+    }
+
+    boolean ledgerTimeout() {
+        if (ledgerOperation == 0) {
+            return false;
+        }
+        ledgerOperation = 0;
+        writer.unknown();
+        return true;
+    }
+
+    boolean takeoverStep(int behind) {
+        Takeover t =
+                takeovers.stream().filter(x -> x.operation == 0).findFirst().orElse(null);
+        if (t == null) {
+            return false;
+        }
+        TakeoverStep step = t.process.step();
+        int operation = world.nextOperation();
+        if (step instanceof TakeoverStep.Read read) {
+            t.operation = operation;
+            world.toPlatform("list by " + index, () -> {
+                List<LedgerBatch> batches = world.list(read.ledger(), read.afterSequence(), behind);
+                world.send("list answer", index, () -> whenCurrent(t, operation, () -> t.process.read(batches, false)));
+            });
+        } else if (step instanceof TakeoverStep.Create c) {
+            t.operation = operation;
+            create(
+                    c.write(),
+                    stored -> whenCurrent(
+                            t, operation, () -> stored.ifPresentOrElse(t.process::conflict, t.process::applied)));
+        } else {
+            takeovers.remove(t);
+            if (step instanceof TakeoverStep.Mine mine && !world.mechanisms.billTakenOver(writer, t.bill, mine)) {
+                dropped(List.of(t.bill));
+            }
+        }
+        return true;
+    }
+
+    boolean takeoverTimeout() {
+        Takeover t =
+                takeovers.stream().filter(x -> x.operation != 0).findFirst().orElse(null);
+        if (t == null) {
+            return false;
+        }
+        t.operation = 0;
+        takeovers.remove(t);
+        takeovers.add(t);
+        return true;
+    }
+
+    private static void whenCurrent(Takeover t, int operation, Runnable action) {
+        if (t.operation == operation) {
+            t.operation = 0;
+            action.run();
+        }
+    }
+
+    private void create(PendingWrite write, Consumer<Optional<LedgerBatch>> answered) {
+        world.toPlatform("create by " + index, () -> {
+            Optional<LedgerBatch> stored = world.createBatch(write);
+            world.send("create answer", index, () -> answered.accept(stored));
+        });
+    }
+}
