--- a/core/src/main/java/io/hornbeamfield/core/result/ResultCode.java
+++ b/core/src/main/java/io/hornbeamfield/core/result/ResultCode.java
@@ -40,7 +40,8 @@
     OUTCOME_UNKNOWN(4001, 504, Ran.UNKNOWN, "It is not known whether the request ran"),
     KEY_EXPIRED(4002, 410, Ran.UNKNOWN, "The idempotency key has expired"),
     BACKEND_FAILED(4003, 502, Ran.UNKNOWN, "The backend server failed"),
-    PLATFORM_UNAVAILABLE(5001, 503, Ran.NO, "The platform does not answer");
+    PLATFORM_UNAVAILABLE(5001, 503, Ran.NO, "The platform does not answer"),
+    INSTANCE_UNREACHABLE(5002, 503, Ran.NO, "The instance does not answer");
 
     private final int number;
     private final int httpStatus;
--- /dev/null
+++ b/ctl/src/main/java/io/hornbeamfield/ctl/internal/InstanceCommands.java
@@ -0,0 +1,136 @@
+package io.hornbeamfield.ctl.internal;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.hornbeamfield.core.config.ConfigHead;
+import io.hornbeamfield.core.result.ResultCode;
+import io.hornbeamfield.net.http.HttpCall;
+import io.hornbeamfield.net.http.HttpClient;
+import io.hornbeamfield.net.http.HttpReply;
+import io.hornbeamfield.net.json.Json;
+import io.hornbeamfield.net.platform.VersionedValue;
+import java.io.UncheckedIOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+
+/** The commands {@code dump} and {@code status}, which read from routers and change nothing. */
+public final class InstanceCommands {
+    static final String PREFIX = "routers/";
+    private static final Duration TIMEOUT = Duration.ofSeconds(3);
+
+    private final Platform platform;
+    private final ConfigStore store;
+    private final HttpClient http;
+    private final Optional<String> operatorToken;
+
+    public InstanceCommands(Platform platform, ConfigStore store, HttpClient http, Optional<String> operatorToken) {
+        this.platform = platform;
+        this.store = store;
+        this.http = http;
+        this.operatorToken = operatorToken;
+    }
+
+    private record Router(String id, JsonNode status) {
+        String text(String field) {
+            return status.path(field).asText("-");
+        }
+    }
+
+    /** Shows the state of one router. */
+    public Output dump(String instance) {
+        VersionedValue status = platform.read(PREFIX + instance)
+                .orElseThrow(() -> new CtlFailure(
+                        ResultCode.MALFORMED_REQUEST,
+                        "There is no router \"" + instance + "\". See status for the instance ids."));
+        try {
+            return Output.ofJson(state(new Router(instance, status.value())).join());
+        } catch (CompletionException e) {
+            throw new CtlFailure(
+                    ResultCode.INSTANCE_UNREACHABLE,
+                    "Router " + instance + " does not answer at its admin address: " + reason(e)
+                            + ". Check the operator token and the network to this router.");
+        }
+    }
+
+    /** Shows every router with the revision that it has adopted. */
+    public Output status() {
+        StoredConfig stored = store.load();
+        List<Router> routers = platform.list(PREFIX).stream()
+                .map(v -> new Router(v.key().substring(PREFIX.length()), v.value()))
+                .toList();
+        Map<Router, CompletableFuture<JsonNode>> states = new LinkedHashMap<>();
+        routers.forEach(r -> states.put(r, state(r)));
+        List<List<String>> rows = new ArrayList<>();
+        String preset = stored.head().map(ConfigHead::activePreset).orElse("-");
+        rows.add(List.of("REVISION " + stored.revision(), "PRESET " + preset, "", "", ""));
+        rows.add(List.of("ROUTER", "ZONE", "STATE", "REVISION", "NOTE"));
+        List<Map<String, Object>> json = new ArrayList<>();
+        states.forEach((router, state) -> {
+            long adopted = adoptedRevision(state);
+            String note = note(state, adopted, stored.revision());
+            String shown = adopted < 0 ? "-" : Long.toString(adopted);
+            rows.add(List.of(router.id(), router.text("zone"), router.text("state"), shown, note));
+            json.add(Map.of(
+                    "router", router.id(),
+                    "incarnation", router.text("incarnation"),
+                    "zone", router.text("zone"),
+                    "state", router.text("state"),
+                    "revision", adopted,
+                    "note", note));
+        });
+        return Output.of(Map.of("revision", stored.revision(), "activePreset", preset, "routers", json), rows);
+    }
+
+    private static String note(CompletableFuture<JsonNode> state, long adopted, long current) {
+        if (adopted < 0) {
+            return state.isCompletedExceptionally() ? "no answer" : "no configuration";
+        }
+        return adopted < current ? "lags by " + (current - adopted) : "";
+    }
+
+    private static long adoptedRevision(CompletableFuture<JsonNode> state) {
+        try {
+            return state.join().path("configRevision").asLong(-1);
+        } catch (CompletionException e) {
+            return -1;
+        }
+    }
+
+    private CompletableFuture<JsonNode> state(Router router) {
+        String address = router.status().path("adminAddress").asText();
+        if (address.isEmpty()) {
+            return CompletableFuture.failedFuture(new IllegalStateException("its status names no admin address"));
+        }
+        String token = operatorToken.orElseThrow(
+                () -> new CtlFailure(
+                        ResultCode.INVALID_SETTINGS,
+                        "dump and status need the operator token. Pass --operator-token or set operatorToken in the settings."));
+        HttpCall call = HttpCall.get("http://" + address + "/state")
+                .bearer(token)
+                .timeout(TIMEOUT)
+                .build();
+        return http.send(call).thenApply(InstanceCommands::body);
+    }
+
+    private static JsonNode body(HttpReply reply) {
+        if (!reply.isSuccess()) {
+            throw new IllegalStateException("it answered " + reply.status());
+        }
+        try {
+            return Json.parse(reply.body());
+        } catch (UncheckedIOException e) {
+            throw new IllegalStateException("its answer is not JSON", e);
+        }
+    }
+
+    private static String reason(CompletionException e) {
+        return e.getCause() == null
+                ? String.valueOf(e.getMessage())
+                : String.valueOf(e.getCause().getMessage());
+    }
+}
