--- /dev/null
+++ b/router/src/test/java/io/hornbeamfield/router/traffic/EngineFailureTest.java
@@ -0,0 +1,176 @@
+package io.hornbeamfield.router.traffic;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.hornbeamfield.net.http.HttpReply;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class EngineFailureTest {
+    private static final long RESERVED = "when to sow".length() + 8 + 50;
+    private static final long USAGE = 6 + FakeEngine.PROMPT_TOKENS;
+
+    private final FakeEngine engine = new FakeEngine();
+    private final FakeEngine second = new FakeEngine();
+    private final TestRouter router = new TestRouter("r1-00000001");
+
+    @BeforeEach
+    void addEngine() {
+        router.load.add("models", "e1", engine.address());
+    }
+
+    @AfterEach
+    void stop() {
+        router.close();
+        engine.close();
+        second.close();
+    }
+
+    @Test
+    void brokenStreamIsResumedAtItsOffset() {
+        engine.breakAt = 3;
+        HttpReply reply = router.send(router.chat(true));
+        assertThat(Sse.text(reply)).isEqualTo("0 1 2 3 4 5 ");
+        assertThat(engine.resumed).singleElement().asString().endsWith("from 3");
+        assertThat(router.budgets.spent()).isEqualTo(USAGE);
+    }
+
+    /** A connection can go silent for good while new ones work. Late parts of it must not reach the caller. */
+    @Test
+    void silentStreamIsResumedOnAFreshConnectionAndItsLatePartsAreDropped() {
+        engine.silentAt = 2;
+        engine.tokens = 4;
+        var reply = router.sendAsync(router.chat(true));
+        Waiting.until(() -> !engine.resumed.isEmpty());
+        engine.silent.forEach(s -> s.write(FakeEngine.event("late", 2, "wrong ")));
+        assertThat(Sse.text(reply.join())).isEqualTo("0 1 2 3 ");
+        assertThat(engine.resumed).singleElement().asString().endsWith("from 2");
+    }
+
+    @Test
+    void requestMovesToAnotherServerWhenTheConnectionIsRefused() {
+        engine.close();
+        router.load.add("models", "e2", second.address());
+        for (int i = 0; i < 4; i++) {
+            assertThat(router.send(router.chat(true)).status()).isEqualTo(200);
+        }
+        assertThat(second.started).hasSize(4);
+        assertThat(router.load.failedConnects).hasSizeLessThanOrEqualTo(1);
+        assertThat(router.budgets.spent()).isEqualTo(4 * USAGE);
+    }
+
+    @Test
+    void refusalStatesNotRunWhenNothingWasSent() {
+        engine.close();
+        HttpReply reply = router.send(router.chat(true));
+        assertThat(Sse.code(reply)).isEqualTo(3004);
+        assertThat(Sse.ran(reply)).isEqualTo("no");
+        assertThat(router.budgets.spent()).isZero();
+        assertThat(router.budgets.openReservations()).isZero();
+        assertThat(router.billing.bills).isEmpty();
+    }
+
+    @Test
+    void busyEngineIsReplacedByAnotherOne() {
+        engine.refuseWith = 503;
+        router.load.add("models", "e2", second.address());
+        second.refuseWith = 0;
+        for (int i = 0; i < 3; i++) {
+            assertThat(router.send(router.chat(false)).status()).isEqualTo(200);
+        }
+        assertThat(router.budgets.spent()).isEqualTo(3 * USAGE);
+    }
+
+    /** The tokens of a lost attempt may have been produced, so they cannot be given back. */
+    @Test
+    void attemptWhoseUsageCannotBeLearntStaysFullySpent() {
+        engine.breakAt = 0;
+        engine.forgetsStreams = true;
+        engine.answersCancels = false;
+        router.load.addresses.get("models").clear();
+        router.load.add("models", "e1", engine.address());
+        router.load.add("models", "e2", second.address());
+        second.breakAt = 0;
+        second.forgetsStreams = true;
+        second.answersCancels = false;
+        HttpReply reply = router.send(router.chat(true));
+        assertThat(Sse.code(reply)).isEqualTo(4003);
+        assertThat(Sse.ran(reply)).isEqualTo("unknown");
+        long attempts = engine.started.size() + second.started.size();
+        assertThat(attempts).isEqualTo(4);
+        assertThat(engine.started).doesNotHaveDuplicates();
+        assertThat(router.budgets.spent()).isEqualTo(attempts * RESERVED);
+        assertThat(router.billing.bills).singleElement().satisfies(bill -> {
+            assertThat(bill.tokens()).isEqualTo(attempts * RESERVED);
+            assertThat(bill.status()).isEqualTo("failed");
+        });
+    }
+
+    @Test
+    void lostAttemptIsChargedByTheUsageThatTheCancelTells() {
+        engine.breakAt = 2;
+        engine.forgetsStreams = true;
+        HttpReply reply = router.send(router.chat(true));
+        assertThat(reply.text()).contains("event: error").contains("\"code\":4003");
+        assertThat(engine.cancelled).hasSize(1);
+        assertThat(router.budgets.spent()).isEqualTo(2 + FakeEngine.PROMPT_TOKENS);
+    }
+
+    /** Another attempt may produce other text; a caller must not get parts of both. */
+    @Test
+    void streamThatReachedTheCallerIsNotStartedAgainElsewhere() {
+        engine.breakAt = 2;
+        engine.forgetsStreams = true;
+        second.breakAt = 2;
+        second.forgetsStreams = true;
+        router.load.add("models", "e2", second.address());
+        HttpReply reply = router.send(router.chat(true));
+        assertThat(engine.started.size() + second.started.size()).isEqualTo(1);
+        assertThat(reply.text()).doesNotContain("[DONE]");
+    }
+
+    @Test
+    void wholeAnswerIsProducedAgainElsewhereWhenAnEngineLosesIt() {
+        engine.breakAt = 2;
+        engine.forgetsStreams = true;
+        router.load.add("models", "e2", second.address());
+        engine.tokens = 9;
+        HttpReply reply = router.send(router.chat(false));
+        HttpReply next = router.send(router.chat(false));
+        assertThat(reply.text() + next.text()).contains("0 1 2 3 4 5 ").doesNotContain("7 8");
+    }
+
+    @Test
+    void callerThatLeavesCancelsARequestThatNobodyCanAskForAgain() throws Exception {
+        engine.silentAt = 2;
+        publishLongSilence();
+        router.client.open(router.chat(true).build(), new IgnoringListener()).cancel();
+        var open = router.client.open(router.chat(true).build(), new IgnoringListener());
+        Waiting.until(() -> !engine.silent.isEmpty());
+        open.cancel();
+        Waiting.until(() -> !engine.cancelled.isEmpty() && router.traffic.open() == 0);
+        assertThat(router.billing.bills).anySatisfy(b -> assertThat(b.status()).isEqualTo("cancelled"));
+        assertThat(router.budgets.openReservations()).isZero();
+    }
+
+    @Test
+    void callerThatLeavesCanGetTheAnswerLaterByItsKey() {
+        engine.silentAt = 2;
+        String key = router.key("leaverkey");
+        var open = router.client.open(
+                router.chat(true).header("Idempotency-Key", key).build(), new IgnoringListener());
+        Waiting.until(() -> !engine.silent.isEmpty());
+        open.cancel();
+        HttpReply reply =
+                router.send(router.chat(true).header("Idempotency-Key", key).header("Hornbeamfield-From", "1"));
+        assertThat(Sse.text(reply)).isEqualTo("1 2 3 4 5 ");
+        assertThat(engine.started).hasSize(1);
+        assertThat(engine.cancelled).isEmpty();
+        assertThat(router.billing.bills).hasSize(1);
+    }
+
+    private void publishLongSilence() {
+        router.publish(TestRouter.presetWithSilence(20_000));
+    }
+}
--- a/router/src/test/java/io/hornbeamfield/router/traffic/TestRouter.java
+++ b/router/src/test/java/io/hornbeamfield/router/traffic/TestRouter.java
@@ -60,6 +60,11 @@
         board.publishRouters(List.of(info()));
     }
 
+    static Preset presetWithSilence(long streamSilenceMs) {
+        return new Preset(
+                60, 0.5, 60, 200, 32, 32, 0.5, 0, streamSilenceMs, 500, 1, Priority.LOW, StaleConfigPolicy.SERVE);
+    }
+
     void publish(Preset preset) {
         Workspace plots = new Workspace("plots", List.of(hash("secret-key")), Priority.NORMAL, Optional.empty());
         Workspace other = new Workspace("other", List.of(hash("other-key")), Priority.NORMAL, Optional.empty());
--- /dev/null
+++ b/router/src/test/java/io/hornbeamfield/router/traffic/Waiting.java
@@ -0,0 +1,29 @@
+package io.hornbeamfield.router.traffic;
+
+import java.util.function.BooleanSupplier;
+
+/** Waits for what other threads do. */
+final class Waiting {
+    private static final int LIMIT_MS = 10_000;
+
+    private Waiting() {}
+
+    static void until(BooleanSupplier condition) {
+        long limit = System.nanoTime() + LIMIT_MS * 1_000_000L;
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > limit) {
+                throw new AssertionError("The condition was not met within " + LIMIT_MS + " ms.");
+            }
+            pause();
+        }
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(5);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new AssertionError("Interrupted.", e);
+        }
+    }
+}
