Test request keys and inputs, and mark the run of a streamed answer

Engine request ids did not name the workspace, although keys are scoped by workspace. Change: streamed answers carry Hornbeamfield-Run; a resume that names another run starts at offset 0. Engine request ids contain a hash of the workspace. Ruled out: refusing a resume of another run (costs the caller a round trip).

--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/Attempts.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/Attempts.java
@@ -37,9 +37,13 @@
                 listener);
     }
 
-    /** The id of a takeover run names the router that took over, because the owner may have attempts of its own. */
+    /**
+     * Keys are scoped by workspace, so an engine request id names the workspace too. The id of a takeover run names the
+     * router that took over, because the owner may have attempts of its own.
+     */
     private String engineRequestId(int number) {
-        String key = request.key().text();
+        String key =
+                request.key().text() + "~" + Hashes.sha256(request.workspace()).substring(0, 8);
         return request.key().owner().equals(context.incarnation())
                 ? key + "~" + number
                 : key + "~" + context.incarnation() + "~" + number;
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/CallerApi.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/CallerApi.java
@@ -71,7 +71,9 @@
         CallerRequest request = reader.read(exchange, workspace, work);
         String id = request.key().text();
         Executor writes = MoreExecutors.newSequentialExecutor(delivery);
-        AnswerSink sink = work.stream() ? new StreamSink(exchange, id, writes) : new WholeSink(exchange, id, writes);
+        AnswerSink sink = work.stream()
+                ? new StreamSink(exchange, id, context.incarnation(), writes)
+                : new WholeSink(exchange, id, writes);
         submit(exchange, request, sink);
     }
 
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/CallerHeaders.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/CallerHeaders.java
@@ -7,6 +7,9 @@
     static final String DEADLINE = "Hornbeamfield-Deadline-Ms";
     static final String PRIORITY = "Hornbeamfield-Priority";
     static final String FROM = "Hornbeamfield-From";
+    /** Names the router that runs a request. Offsets of one run mean nothing in another. */
+    static final String RUN = "Hornbeamfield-Run";
+
     static final String RELAY = "Hornbeamfield-Relay";
 
     private CallerHeaders() {}
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/Relay.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/Relay.java
@@ -17,7 +17,8 @@
             CallerHeaders.KEY,
             CallerHeaders.BUDGET,
             CallerHeaders.PRIORITY,
-            CallerHeaders.FROM);
+            CallerHeaders.FROM,
+            CallerHeaders.RUN);
 
     /** The liveness checks of the relay bound the wait; this limit only frees what a fault left behind. */
     private static final Duration LIMIT = Duration.ofMinutes(15);
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/RelayedAnswer.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/RelayedAnswer.java
@@ -95,7 +95,8 @@
 
     private Map<String, String> passedOn() {
         Map<String, String> result = new HashMap<>();
-        for (String name : List.of("Content-Type", "Retry-After", "Cache-Control", CallerHeaders.KEY)) {
+        for (String name :
+                List.of("Content-Type", "Retry-After", "Cache-Control", CallerHeaders.KEY, CallerHeaders.RUN)) {
             String value = headers.get(name.toLowerCase(java.util.Locale.ROOT));
             if (value != null) {
                 result.put(name, value);
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/RequestReader.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/RequestReader.java
@@ -59,11 +59,23 @@
                 budget(exchange, workspace),
                 priority(exchange, workspace),
                 deadline(exchange, context.clock()),
-                number(exchange, CallerHeaders.FROM).orElse(0L),
+                from(exchange),
                 Hashes.fingerprint(exchange.method(), target, exchange.body()),
                 work);
     }
 
+    /**
+     * A caller that resumes the answer of another run gets this one from its start: the runs may have produced
+     * different text.
+     */
+    private long from(HttpExchange exchange) {
+        boolean otherRun = exchange.header(CallerHeaders.RUN)
+                .map(run -> !run.equals(context.incarnation()))
+                .orElse(false);
+        long from = number(exchange, CallerHeaders.FROM).orElse(0L);
+        return otherRun ? 0 : from;
+    }
+
     private static RequestKey parseKey(String text) {
         return RequestKey.parse(text).fold(key -> key, refusal -> {
             throw Checked.refused(refusal);
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/StreamSink.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/StreamSink.java
@@ -17,12 +17,14 @@
 final class StreamSink implements AnswerSink {
     private final HttpExchange exchange;
     private final String id;
+    private final String run;
     private final Executor executor;
     private @Nullable ResponseStream stream;
 
-    StreamSink(HttpExchange exchange, String id, Executor executor) {
+    StreamSink(HttpExchange exchange, String id, String run, Executor executor) {
         this.exchange = exchange;
         this.id = id;
+        this.run = run;
         this.executor = executor;
     }
 
@@ -72,7 +74,15 @@
         if (s == null) {
             s = exchange.startStream(
                     200,
-                    Map.of("Content-Type", "text/event-stream", "Cache-Control", "no-store", CallerHeaders.KEY, id));
+                    Map.of(
+                            "Content-Type",
+                            "text/event-stream",
+                            "Cache-Control",
+                            "no-store",
+                            CallerHeaders.KEY,
+                            id,
+                            CallerHeaders.RUN,
+                            run));
             stream = s;
         }
         return s;
--- a/router/src/test/java/io/hornbeamfield/router/traffic/FakeEngine.java
+++ b/router/src/test/java/io/hornbeamfield/router/traffic/FakeEngine.java
@@ -2,6 +2,8 @@
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.NullNode;
 import io.hornbeamfield.net.http.HttpExchange;
 import io.hornbeamfield.net.http.HttpServer;
 import io.hornbeamfield.net.http.ResponseStream;
@@ -19,6 +21,8 @@
     final List<String> resumed = new CopyOnWriteArrayList<>();
     final List<String> cancelled = new CopyOnWriteArrayList<>();
     final Map<String, Integer> produced = new ConcurrentHashMap<>();
+    volatile JsonNode lastBody = NullNode.instance;
+    volatile String lastPriority = "";
     volatile int tokens = 6;
     volatile int breakAt = Integer.MAX_VALUE;
     volatile int silentAt = Integer.MAX_VALUE;
@@ -40,6 +44,8 @@
 
     private void start(HttpExchange x) {
         String id = x.header("X-Request-Id").orElseThrow();
+        lastBody = Json.parse(x.body());
+        lastPriority = x.header("X-Priority").orElseThrow();
         started.add(id);
         if (refuseWith != 0) {
             x.replyJson(refuseWith, "{}".getBytes(UTF_8));
