Add the caller library

Cause: callers need addresses, keys, retries and resumed streams done right. The parser of server-sent events moves to net.http for both sides.

--- /dev/null
+++ b/client/src/main/java/io/hornbeamfield/client/ServiceCall.java
@@ -0,0 +1,66 @@
+package io.hornbeamfield.client;
+
+/**
+ * A call to a plain service.
+ *
+ * <pre>{@code
+ * ServiceCall.post("ledger", "/fees").json("{\"plot\":7}").build();
+ * }</pre>
+ */
+public record ServiceCall(
+        String pool, String method, String path, String contentType, byte[] body, CallOptions options) {
+
+    /** Starts a POST call. */
+    public static Builder post(String pool, String path) {
+        return of(pool, "POST", path);
+    }
+
+    /** Starts a GET call. */
+    public static Builder get(String pool, String path) {
+        return of(pool, "GET", path);
+    }
+
+    /** Starts a call with any method. */
+    public static Builder of(String pool, String method, String path) {
+        return new Builder(pool, method, path);
+    }
+
+    /** Builds a {@link ServiceCall}. */
+    public static final class Builder {
+        private final String pool;
+        private final String method;
+        private final String path;
+        private String contentType = "application/octet-stream";
+        private byte[] body = new byte[0];
+        private CallOptions options = CallOptions.defaults();
+
+        private Builder(String pool, String method, String path) {
+            this.pool = pool;
+            this.method = method;
+            this.path = path;
+        }
+
+        /** Sets a JSON body. */
+        public Builder json(String json) {
+            return body("application/json", json.getBytes(java.nio.charset.StandardCharsets.UTF_8));
+        }
+
+        /** Sets the body. */
+        public Builder body(String type, byte[] bytes) {
+            this.contentType = type;
+            this.body = bytes;
+            return this;
+        }
+
+        /** Sets the options. */
+        public Builder options(CallOptions value) {
+            this.options = value;
+            return this;
+        }
+
+        /** Returns the finished call. */
+        public ServiceCall build() {
+            return new ServiceCall(pool, method, path, contentType, body, options);
+        }
+    }
+}
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/EngineConnection.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/EngineConnection.java
@@ -1,6 +1,7 @@
 package io.hornbeamfield.router.traffic.internal;
 
 import io.hornbeamfield.net.http.CallFailure;
+import io.hornbeamfield.net.http.EventStreamParser;
 import io.hornbeamfield.net.http.StreamListener;
 import java.util.Map;
 import java.util.concurrent.Executor;
@@ -13,13 +14,13 @@
     private final ModelAttempt attempt;
     private final int number;
     private final Executor executor;
-    private final SseParser parser;
+    private final EventStreamParser parser;
 
     EngineConnection(ModelAttempt attempt, int number, Executor executor) {
         this.attempt = attempt;
         this.number = number;
         this.executor = executor;
-        this.parser = new SseParser(data -> {
+        this.parser = new EventStreamParser((name, data) -> {
             if (attempt.isCurrent(number)) {
                 attempt.event(EngineEvent.parse(data));
             }
