Show an index only for the elements of arrays

Cause: a pool whose name is a number, with a fault in one of its models, was shown as pools[7].models[1]. Change: only the last step of a path can be an index.

--- a/ctl/src/main/java/io/hornbeamfield/ctl/internal/DocumentSchema.java
+++ b/ctl/src/main/java/io/hornbeamfield/ctl/internal/DocumentSchema.java
@@ -43,10 +43,10 @@
     private static String path(ValidationMessage m) {
         StringBuilder path = new StringBuilder();
         String pointer = m.getInstanceLocation().toString();
-        for (String step :
-                pointer.isEmpty() ? new String[0] : pointer.substring(1).split("/", -1)) {
-            String name = step.replace("~1", "/").replace("~0", "~");
-            if (name.matches("\\d+") && isArrayStep(m)) {
+        String[] steps = pointer.isEmpty() ? new String[0] : pointer.substring(1).split("/", -1);
+        for (int i = 0; i < steps.length; i++) {
+            String name = steps[i].replace("~1", "/").replace("~0", "~");
+            if (i == steps.length - 1 && isElement(m)) {
                 path.append('[').append(name).append(']');
             } else {
                 path.append(path.isEmpty() ? "" : ".").append(name);
@@ -58,8 +58,8 @@
         return path.isEmpty() ? "document" : path.toString();
     }
 
-    /** Numbers occur as names too, but only the elements of arrays are checked by a rule for items. */
-    private static boolean isArrayStep(ValidationMessage m) {
+    /** A pool or a workspace may have a number as its name, so the rule decides and not the step. */
+    private static boolean isElement(ValidationMessage m) {
         return m.getSchemaLocation().toString().contains("/items");
     }
 
