--- /dev/null
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/CallerHeaders.java
@@ -0,0 +1,16 @@
+package io.hornbeamfield.router.traffic.internal;
+
+/** Names of the headers that callers and relaying routers send. */
+final class CallerHeaders {
+    static final String KEY = "Idempotency-Key";
+    static final String BUDGET = "Hornbeamfield-Budget";
+    static final String DEADLINE = "Hornbeamfield-Deadline-Ms";
+    static final String PRIORITY = "Hornbeamfield-Priority";
+    static final String FROM = "Hornbeamfield-From";
+    /** Names the router that runs a request. Offsets of one run mean nothing in another. */
+    static final String RUN = "Hornbeamfield-Run";
+
+    static final String RELAY = "Hornbeamfield-Relay";
+
+    private CallerHeaders() {}
+}
