Bring the rests of a budget together and call the platform less

Change: a router with waiting requests gives to a peer that comes first in the rendezvous order of the budget, or if the rest serves the peer at once and it is not asking itself; at the end of a budget only what the smallest request lacks is asked for; a satisfied round ends at once; reads of a record are at least 250 ms apart; a router whose entry was released refuses instead of reading in a loop; status objects are listed each 10 s, the instance list each 5 s, the orders lease lasts 30 s.

--- a/router/src/main/java/io/hornbeamfield/router/control/internal/AllotmentController.java
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/AllotmentController.java
@@ -58,7 +58,7 @@
     @Override
     public void received(PeerLink link, PeerMessage message) {
         if (message instanceof PeerMessage.TransferRequest request) {
-            TransferGrant grant = give(request);
+            TransferGrant grant = give(link.peer().incarnation(), request);
             link.send(new PeerMessage.TransferGrant(grant.transferId(), grant.budget(), grant.tokens()));
         } else if (message instanceof PeerMessage.TransferGrant grant) {
             BudgetAccount account = accounts.get(grant.budget());
@@ -68,12 +68,12 @@
         }
     }
 
-    private TransferGrant give(PeerMessage.TransferRequest request) {
+    private TransferGrant give(String peer, PeerMessage.TransferRequest request) {
         BudgetAccount account = accounts.get(request.budget());
         if (account == null) {
             return new TransferGrant(request.transferId(), request.budget(), 0);
         }
-        TransferGrant grant = account.give(request.transferId(), request.tokens());
+        TransferGrant grant = account.give(peer, request.transferId(), request.tokens());
         if (grant.tokens() > 0) {
             context.count("transfers.given");
         }
--- a/router/src/main/java/io/hornbeamfield/router/control/internal/BudgetAccount.java
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/BudgetAccount.java
@@ -9,7 +9,7 @@
 import io.hornbeamfield.core.budget.TransferGrant;
 import io.hornbeamfield.core.result.Refusal;
 import io.hornbeamfield.core.result.Result;
-import io.hornbeamfield.core.result.ResultCode;
+import io.hornbeamfield.core.routing.Rendezvous;
 import io.hornbeamfield.net.json.Json;
 import io.hornbeamfield.net.platform.VersionedValue;
 import io.hornbeamfield.net.platform.WriteResult;
@@ -41,6 +41,7 @@
     private final ControlContext context;
     private final PlatformHealth health;
     private final Allotment allotment;
+    private final BudgetRefusals refusals;
     private final DemandRate rate;
     private final BudgetQueue queue = new BudgetQueue();
     private final TransferRound transfers;
@@ -50,8 +51,9 @@
     private volatile long lowWater;
     private @Nullable SeenBudget seen;
     private Instant absentAt = Instant.EPOCH;
-    private Instant callStartedAt = Instant.MIN;
-    private Instant retryAt = Instant.MIN;
+    private Instant readAt = Instant.EPOCH;
+    private Instant callStartedAt = Instant.EPOCH;
+    private Instant retryAt = Instant.EPOCH;
     private Instant checkpointAt;
     private boolean calling;
     private boolean mustRead;
@@ -61,6 +63,7 @@
         this.context = context;
         this.health = health;
         this.allotment = new Allotment(budget, context.incarnation());
+        this.refusals = new BudgetRefusals(budget);
         this.rate = new DemandRate(context.loop().clock(), DEMAND_MEMORY);
         this.checkpointAt = context.now();
         this.transfers = new TransferRound(context, peers, allotment, this::step);
@@ -123,9 +126,10 @@
         if (!calling && !context.now().isBefore(retryAt)) {
             callPlatform();
         }
-        long lacking = queue.need() - allotment.available();
-        if (queue.size() > 0 && lacking > 0 && platformCannotHelp()) {
-            transfers.ask(lacking + (health.isAway() ? (long) (2 * rate.tokensPerSecond()) : 0), seenBudget());
+        if (queue.size() == 0) {
+            transfers.satisfied();
+        } else if (queue.need() > allotment.available() && platformCannotHelp()) {
+            transfers.ask(transferTokens(), Optional.ofNullable(seen));
         }
         int refused = queue.refuse(this::refusal);
         if (refused > 0) {
@@ -134,8 +138,15 @@
         updateLowWater();
     }
 
-    private Optional<SeenBudget> seenBudget() {
-        return Optional.ofNullable(seen);
+    /**
+     * While the platform is away, one transfer covers all waiting requests and the next seconds. At the end of a budget
+     * only what the smallest request lacks is asked for, so that the rest is not drawn back and forth.
+     */
+    private long transferTokens() {
+        if (health.isAway()) {
+            return queue.need() - allotment.available() + (long) (2 * rate.tokensPerSecond());
+        }
+        return Math.max(1, queue.smallest() - allotment.available());
     }
 
     private boolean platformCannotHelp() {
@@ -152,9 +163,10 @@
         SeenBudget s = seen;
         if (closed != null) {
             close(s);
+        } else if (allotment.state() == Allotment.State.CLOSED) {
+            lowWater = 0;
         } else if (s == null || mustRead) {
-            boolean absent = Duration.between(absentAt, context.now()).compareTo(LOOK_PERIOD) < 0;
-            if (mustRead || (queue.size() > 0 && !absent)) {
+            if (mustRead || (queue.size() > 0 && isOld(absentAt))) {
                 read();
             }
         } else {
@@ -165,13 +177,23 @@
     private void act(SeenBudget s, BudgetPolicy policy) {
         long need = queue.need();
         AllotmentAction action = policy.next(allotment, rate, need, s.record());
-        boolean old = Duration.between(s.at(), context.now()).compareTo(LOOK_PERIOD) >= 0;
         if (action instanceof AllotmentAction.Take take && (need > 0 || take.tokens() >= rate.tokensPerSecond())) {
-            allotment.planTake(s.record(), take.tokens()).ifPresentOrElse(u -> write(s, u), this::read);
+            allotment.planTake(s.record(), take.tokens()).ifPresentOrElse(u -> write(s, u), this::look);
         } else if (action instanceof AllotmentAction.Return back && (back.tokens() > 0 || checkpointDue())) {
             checkpointAt = context.now();
             allotment.planReturn(s.record(), back.tokens()).ifPresent(u -> write(s, u));
-        } else if (need > allotment.available() && old) {
+        } else if (need > allotment.available() && isOld(s.at())) {
+            look();
+        }
+    }
+
+    private boolean isOld(Instant at) {
+        return Duration.between(at, context.now()).compareTo(LOOK_PERIOD) >= 0;
+    }
+
+    /** Reads the record, unless it was read a moment ago: a lagging copy can show the same old record again. */
+    private void look() {
+        if (isOld(readAt)) {
             read();
         }
     }
@@ -228,6 +250,7 @@
 
     private void read() {
         called();
+        readAt = context.now();
         context.loop()
                 .onDone(
                         context.platform().read(key()).thenApply(v -> v.map(this::parse)),
@@ -307,17 +330,20 @@
         SeenBudget s = seen;
         Instant now = context.now();
         if (closed != null) {
-            return Optional.of(Refusal.of(ResultCode.LEAVING, "Ask for addresses again and use another router."));
+            return Optional.of(refusals.leaving());
+        }
+        if (allotment.state() == Allotment.State.CLOSED) {
+            return Optional.of(refusals.released());
         }
         if (s == null && !absentAt.isBefore(waiter.arrivedAt().minus(LOOK_PERIOD))) {
-            return Optional.of(Refusal.of(
-                    ResultCode.NO_BUDGET,
-                    "There is no budget \"" + allotment.budget() + "\". Ask the operator to grant tokens."));
+            return Optional.of(refusals.absent());
         }
         boolean looked = s != null && !s.at().isBefore(waiter.arrivedAt().minus(LOOK_PERIOD));
         boolean nothingFree = s != null && looked && s.record().free() <= 0;
-        if (s != null && nothingFree && (nobodyHolds(s) || queue.size() > MAX_WAITERS_WITHOUT_FREE)) {
-            return Optional.of(exhausted());
+        if (s != null
+                && nothingFree
+                && (s.isHeldByNobody(allotment, context.incarnation()) || queue.size() > MAX_WAITERS_WITHOUT_FREE)) {
+            return Optional.of(refusals.exhausted());
         }
         if (now.isBefore(waiter.deadline())) {
             return Optional.empty();
@@ -327,27 +353,7 @@
         if (!decided && now.isBefore(waiter.arrivedAt().plus(DECISION_TIME))) {
             return Optional.empty();
         }
-        return Optional.of(nothingFree && emptyRound ? exhausted() : busy());
-    }
-
-    private boolean nobodyHolds(SeenBudget s) {
-        return allotment.reserved() == 0
-                && !allotment.hasUnrecordedMoves()
-                && s.heldByOthers(context.incarnation()) <= 0;
-    }
-
-    private Refusal exhausted() {
-        return Refusal.of(
-                ResultCode.BUDGET_EXHAUSTED,
-                "The budget \"" + allotment.budget()
-                        + "\" has too few tokens left. Ask for a top-up or a smaller answer.");
-    }
-
-    private Refusal busy() {
-        return Refusal.of(
-                        ResultCode.BUDGET_BUSY,
-                        "The tokens of the budget \"" + allotment.budget() + "\" are reserved or out of reach. Retry.")
-                .retryAfter(1);
+        return Optional.of(nothingFree && emptyRound ? refusals.exhausted() : refusals.busy());
     }
 
     private void updateLowWater() {
@@ -365,13 +371,20 @@
                 / 2;
     }
 
-    /** Debits tokens for a peer unless own requests wait for them. Returns a grant of 0 tokens if there are none. */
-    TransferGrant give(String transferId, long tokens) {
-        TransferGrant nothing = new TransferGrant(transferId, allotment.budget(), 0);
-        if (queue.size() > 0 || closed != null) {
-            return nothing;
+    /**
+     * Debits tokens for a peer; returns a grant of 0 tokens if there are none. What is available while own requests
+     * wait is too little for each of them. It is given away if the peer comes first in the order of the budget, or if
+     * it serves the peer at once: otherwise routers with waiting requests would all keep a rest that is of no use. A
+     * router that is asking itself gives only in the order of the budget, so that two routers do not swap their rests.
+     */
+    TransferGrant give(String peer, String transferId, long tokens) {
+        boolean first = Rendezvous.weight(allotment.budget(), peer)
+                > Rendezvous.weight(allotment.budget(), context.incarnation());
+        boolean serves = tokens <= allotment.available() && !transfers.isAsking();
+        if (closed != null || (queue.size() > 0 && !first && !serves)) {
+            return new TransferGrant(transferId, allotment.budget(), 0);
         }
-        return allotment.sendTransfer(transferId, tokens).orElse(nothing);
+        return allotment.sendTransfer(transferId, tokens).orElse(new TransferGrant(transferId, allotment.budget(), 0));
     }
 
     /** Credits tokens of a peer. */
--- a/router/src/main/java/io/hornbeamfield/router/control/internal/BudgetQueue.java
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/BudgetQueue.java
@@ -29,6 +29,11 @@
         return waiters.stream().mapToLong(BudgetWaiter::tokens).sum();
     }
 
+    /** Returns the tokens that the smallest waiting request needs, 0 if none waits. */
+    long smallest() {
+        return waiters.stream().mapToLong(BudgetWaiter::tokens).min().orElse(0);
+    }
+
     /**
      * Reserves for every request for which the balance suffices. A large request does not hold up smaller ones behind
      * it, so that the end of a budget can be used.
--- /dev/null
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/BudgetRefusals.java
@@ -0,0 +1,38 @@
+package io.hornbeamfield.router.control.internal;
+
+import io.hornbeamfield.core.result.Refusal;
+import io.hornbeamfield.core.result.ResultCode;
+
+/** The refusals of one budget, with what to do. */
+record BudgetRefusals(String budget) {
+
+    Refusal exhausted() {
+        return Refusal.of(
+                ResultCode.BUDGET_EXHAUSTED,
+                "The budget \"" + budget + "\" has too few tokens left. Ask for a top-up or a smaller answer.");
+    }
+
+    Refusal busy() {
+        return Refusal.of(
+                        ResultCode.BUDGET_BUSY,
+                        "The tokens of the budget \"" + budget + "\" are reserved or out of reach. Retry.")
+                .retryAfter(1);
+    }
+
+    Refusal absent() {
+        return Refusal.of(
+                ResultCode.NO_BUDGET, "There is no budget \"" + budget + "\". Ask the operator to grant tokens.");
+    }
+
+    Refusal leaving() {
+        return Refusal.of(ResultCode.LEAVING, "Ask for addresses again and use another router.");
+    }
+
+    /** The entry of this running router was released by an operator, so that it may not spend any more. */
+    Refusal released() {
+        return Refusal.of(
+                        ResultCode.BUDGET_BUSY,
+                        "The tokens of the budget \"" + budget + "\" at this router were released. Use another router.")
+                .retryAfter(1);
+    }
+}
--- a/router/src/main/java/io/hornbeamfield/router/control/internal/InstanceListController.java
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/InstanceListController.java
@@ -13,7 +13,7 @@
  * used, an absent instance is not taken for gone.
  */
 final class InstanceListController {
-    private static final Duration SHORTEST_PERIOD = Duration.ofSeconds(2);
+    private static final Duration SHORTEST_PERIOD = Duration.ofSeconds(5);
     /** An entry has about 100 bytes, so that reading the list takes at most 5 KB/s. */
     private static final Duration PERIOD_PER_ENTRY = Duration.ofMillis(20);
 
--- a/router/src/main/java/io/hornbeamfield/router/control/internal/OrdersLease.java
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/OrdersLease.java
@@ -16,7 +16,8 @@
  */
 final class OrdersLease {
     static final String KEY = "leases/orders";
-    static final Duration DURATION = Duration.ofSeconds(15);
+    /** Each router reads or renews the lease at a third of this time; a shorter one costs more platform calls. */
+    static final Duration DURATION = Duration.ofSeconds(30);
     /** The holder gives no order in this last part of the lease. */
     static final Duration SAFETY = Duration.ofSeconds(1);
 
--- a/router/src/main/java/io/hornbeamfield/router/control/internal/PeerController.java
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/PeerController.java
@@ -30,7 +30,11 @@
 
     static final int DIALLED_BEYOND_FULL_MESH = 6;
 
-    private static final Duration SHORTEST_PERIOD = Duration.ofSeconds(2);
+    /** After the start the routers of a fleet find each other quickly; later, links tell of changes sooner. */
+    private static final Duration FIRST_PERIOD = Duration.ofSeconds(2);
+
+    private static final int FIRST_POLLS = 5;
+    private static final Duration SHORTEST_PERIOD = Duration.ofSeconds(10);
     /** A status object has about 250 bytes, so that reading all of them takes at most about 6 KB/s. */
     private static final Duration PERIOD_PER_ROUTER = Duration.ofMillis(40);
 
@@ -44,6 +48,7 @@
     private final RouterTable table = new RouterTable();
     private final Map<String, ServerState> linkedStates = new HashMap<>();
     private final Set<String> dialled = new HashSet<>();
+    private int polls;
 
     PeerController(
             ControlContext context,
@@ -98,8 +103,9 @@
     }
 
     private void again() {
-        Duration period = SHORTEST_PERIOD.plus(
-                PERIOD_PER_ROUTER.multipliedBy(table.peerAddresses().size()));
+        polls++;
+        Duration scaled = PERIOD_PER_ROUTER.multipliedBy(table.peerAddresses().size());
+        Duration period = (polls <= FIRST_POLLS ? FIRST_PERIOD : SHORTEST_PERIOD).plus(scaled);
         context.loop().after(period, () -> poll("", new HashSet<>()));
     }
 
--- a/router/src/main/java/io/hornbeamfield/router/control/internal/SeenBudget.java
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/SeenBudget.java
@@ -1,5 +1,6 @@
 package io.hornbeamfield.router.control.internal;
 
+import io.hornbeamfield.core.budget.Allotment;
 import io.hornbeamfield.core.budget.BudgetRecord;
 import io.hornbeamfield.net.json.Json;
 import io.hornbeamfield.net.platform.VersionedValue;
@@ -13,8 +14,9 @@
         return new SeenBudget(Json.read(value.value(), BudgetRecord.class), value.version(), at);
     }
 
-    /** Returns the tokens that other holders may still have according to their last written entries. */
-    long heldByOthers(String incarnation) {
-        return record.heldByAll() - record.holder(incarnation).held();
+    /** Returns whether, by the last written entries, all tokens that are not free are spent. */
+    boolean isHeldByNobody(Allotment own, String incarnation) {
+        long heldByOthers = record.heldByAll() - record.holder(incarnation).held();
+        return heldByOthers <= 0 && own.reserved() == 0 && !own.hasUnrecordedMoves();
     }
 }
--- a/router/src/main/java/io/hornbeamfield/router/control/internal/TransferRound.java
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/TransferRound.java
@@ -10,6 +10,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -19,7 +20,10 @@
 final class TransferRound {
     /** A peer that has not answered by then is passed over; its grant is still credited when it comes. */
     static final Duration ANSWER_WAIT = Duration.ofMillis(300);
-    /** Peers whose reservations were settled meanwhile are asked again after this time. */
+    /**
+     * Peers whose reservations were settled meanwhile are asked again after this time, less up to half: routers that
+     * ask each other at the same moments would refuse each other again and again.
+     */
     static final Duration ROUND_PAUSE = Duration.ofMillis(250);
 
     private final ControlContext context;
@@ -45,7 +49,7 @@
     /** Goes on asking for the given number of tokens. */
     void ask(long tokens, Optional<SeenBudget> seen) {
         Instant now = context.now();
-        if ((openRequest != null && now.isBefore(answerDue)) || now.isBefore(nextRoundAt)) {
+        if (isAsking() || now.isBefore(nextRoundAt)) {
             return;
         }
         openRequest = null;
@@ -67,6 +71,11 @@
         context.loop().after(ANSWER_WAIT, wake);
     }
 
+    /** Returns whether a peer is still to answer. */
+    boolean isAsking() {
+        return openRequest != null && context.now().isBefore(answerDue);
+    }
+
     private static long heldBy(PeerLink link, Optional<SeenBudget> seen) {
         return seen.map(s -> s.record().holder(link.peer().incarnation()).held())
                 .orElse(0L);
@@ -77,8 +86,16 @@
         lastRoundGave = gaveSome;
         gaveSome = false;
         asked.clear();
-        nextRoundAt = now.plus(ROUND_PAUSE);
-        context.loop().after(ROUND_PAUSE, wake);
+        long millis = ROUND_PAUSE.toMillis();
+        Duration pause = Duration.ofMillis(millis - ThreadLocalRandom.current().nextLong(millis / 2));
+        nextRoundAt = now.plus(pause);
+        context.loop().after(pause, wake);
+    }
+
+    /** Ends the round because no request waits any more; the next need starts with the largest holder at once. */
+    void satisfied() {
+        asked.clear();
+        gaveSome = false;
     }
 
     /** Credits an answer. */
--- a/router/src/test/java/io/hornbeamfield/router/control/internal/BudgetTakeTest.java
+++ b/router/src/test/java/io/hornbeamfield/router/control/internal/BudgetTakeTest.java
@@ -171,4 +171,20 @@
         assertThat(record(store).holders()).isEmpty();
         assertThat(record(store).free()).isEqualTo(9_700);
     }
+
+    @Test
+    void aRouterWhoseEntryWasReleasedSpendsNothingMore() {
+        grant(store, 10_000);
+        var first = router.reserve(1_000);
+        loop.run();
+        assertThat(granted(first)).isTrue();
+        store.put("budgets/plots", record(store).withRelease(router.incarnation, 1_000));
+        loop.advance(Duration.ofSeconds(31));
+        int reads = router.platform.reads;
+        var later = router.reserve(1_000_000);
+        loop.advanceMillis(2_000);
+        assertThat(refusal(later)).isEqualTo(ResultCode.BUDGET_BUSY);
+        assertThat(granted(router.reserve(1))).isFalse();
+        assertThat(router.platform.reads - reads).isLessThan(10);
+    }
 }
