--- a/core/src/main/java/io/hornbeamfield/core/budget/BudgetRecord.java
+++ b/core/src/main/java/io/hornbeamfield/core/budget/BudgetRecord.java
@@ -1,6 +1,5 @@
 package io.hornbeamfield.core.budget;
 
-import com.fasterxml.jackson.annotation.JsonIgnore;
 import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -42,7 +41,6 @@
     }
 
     /** Returns the tokens that the holders could still spend according to their last written entries. */
-    @JsonIgnore
     public long heldByAll() {
         return holders.values().stream().mapToLong(HolderEntry::held).sum();
     }
--- a/core/src/main/java/io/hornbeamfield/core/budget/HolderEntry.java
+++ b/core/src/main/java/io/hornbeamfield/core/budget/HolderEntry.java
@@ -1,7 +1,5 @@
 package io.hornbeamfield.core.budget;
 
-import com.fasterxml.jackson.annotation.JsonIgnore;
-
 /**
  * Cumulative counters of one router incarnation in a budget record, in tokens. No counter ever falls, so that writing
  * or reading a value twice has the effect of doing it once.
@@ -11,13 +9,11 @@
     public static final HolderEntry NONE = new HolderEntry(0, 0, 0, 0, 0);
 
     /** Returns the tokens that the holder can still spend. */
-    @JsonIgnore
     public long held() {
         return taken + receivedIn - returned - sentOut - spent;
     }
 
     /** Returns the tokens that left the free balance of the budget and did not come back. */
-    @JsonIgnore
     public long drawn() {
         return taken - returned;
     }
--- a/core/src/main/java/io/hornbeamfield/core/identity/RefusedKeyFilter.java
+++ b/core/src/main/java/io/hornbeamfield/core/identity/RefusedKeyFilter.java
@@ -12,7 +12,8 @@
 final class RefusedKeyFilter {
     // One row of cells for each group of workspaces, so that keys from the future harm few other workspaces.
     private static final int ROWS = 1024;
-    private static final int CELLS_PER_ROW = 64;
+    private static final int CELL_BITS = 6;
+    private static final int CELLS_PER_ROW = 1 << CELL_BITS;
 
     private final Map<Integer, long[]> rows = new HashMap<>();
 
@@ -37,6 +38,7 @@
     }
 
     private static int cell(RequestKey key) {
-        return Math.floorMod(key.nonce().hashCode() ^ key.owner().hashCode(), CELLS_PER_ROW);
+        // The top bits of the product depend on all bits of the hash; the low bits of a String hash are alike.
+        return ((key.nonce().hashCode() ^ key.owner().hashCode()) * 0x9E3779B9) >>> (32 - CELL_BITS);
     }
 }
--- /dev/null
+++ b/core/src/test/java/io/hornbeamfield/core/ledger/LedgerWriterTest.java
@@ -0,0 +1,95 @@
+package io.hornbeamfield.core.ledger;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.hornbeamfield.core.ledger.LedgerRecord.Bill;
+import io.hornbeamfield.core.ledger.LedgerRecord.Takeover;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+
+/** Guards P2 at the writer: each bill is stored once, and not at all when another incarnation bills it. */
+class LedgerWriterTest {
+    private final AtomicInteger ids = new AtomicInteger();
+    private final LedgerWriter writer = new LedgerWriter("r1-00000001", () -> "batch" + ids.incrementAndGet(), 2);
+
+    private static Bill bill(String requestId) {
+        return new Bill(requestId, "w", "w", 10, "model", "complete");
+    }
+
+    private static LedgerBatch takeover(String requestId) {
+        return new LedgerBatch("r2-00000002", "other", List.of(new Takeover(requestId, "r2-00000002")));
+    }
+
+    private PendingWrite next() {
+        return writer.next().orElseThrow();
+    }
+
+    @Test
+    void billsAreWrittenInNumberedBatchesWithOneInFlight() {
+        List.of("a", "b", "c").forEach(id -> writer.add(bill(id)));
+        PendingWrite first = next();
+        assertThat(first.objectKey()).isEqualTo("ledger/r1-00000001/00000001");
+        assertThat(writer.next()).isEmpty();
+        assertThat(writer.applied().stored()).extracting(Bill::requestId).containsExactly("a", "b");
+        assertThat(next().sequence()).isEqualTo(2);
+        writer.applied();
+        assertThat(writer.next()).isEmpty();
+    }
+
+    @Test
+    void aLostAnswerRepeatsTheSameBatchAndItsOwnConflictMeansStored() {
+        writer.add(bill("a"));
+        PendingWrite lost = next();
+        writer.unknown();
+        writer.add(bill("b"));
+        PendingWrite repeated = next();
+        assertThat(repeated).isEqualTo(lost);
+        assertThat(writer.conflict(lost.batch()).stored()).containsExactly(bill("a"));
+        assertThat(next().batch().records()).containsExactly(bill("b"));
+    }
+
+    @Test
+    void aTakeoverDropsTheBillAndTheRestGoesToTheNextNumber() {
+        writer.add(bill("a"));
+        writer.add(bill("b"));
+        next();
+        SettledBills settled = writer.conflict(takeover("a"));
+        assertThat(settled.takenOver()).containsExactly(bill("a"));
+        assertThat(settled.stored()).isEmpty();
+        assertThat(next()).satisfies(write -> {
+            assertThat(write.sequence()).isEqualTo(2);
+            assertThat(write.batch().records()).containsExactly(bill("b"));
+        });
+    }
+
+    @Test
+    void aRequestThatFinishesAfterItsTakeoverIsNotBilled() {
+        writer.add(bill("b"));
+        next();
+        writer.conflict(takeover("a"));
+        assertThat(writer.add(bill("a"))).isFalse();
+    }
+
+    @Test
+    void aRequestThatWasTakenBackIsBilledOnce() {
+        writer.add(bill("a"));
+        next();
+        writer.conflict(takeover("a"));
+        assertThat(writer.addTakenOver(bill("a"), new TakeoverStep.Mine(1))).isTrue();
+        next();
+        writer.applied();
+        assertThat(writer.addTakenOver(bill("a"), new TakeoverStep.Mine(1))).isTrue();
+        assertThat(writer.next()).isEmpty();
+    }
+
+    @Test
+    void aTakeoverThatWasFollowedBeforeTheWriterMetItDoesNotDropTheBill() {
+        writer.addTakenOver(bill("a"), new TakeoverStep.Mine(1));
+        next();
+        assertThat(writer.conflict(takeover("a")).takenOver()).isEmpty();
+        next();
+        assertThat(writer.conflict(takeover("a")).takenOver()).containsExactly(bill("a"));
+        assertThat(writer.addTakenOver(bill("a"), new TakeoverStep.Mine(1))).isFalse();
+    }
+}
--- a/core/src/test/java/io/hornbeamfield/core/search/Schedule.java
+++ b/core/src/test/java/io/hornbeamfield/core/search/Schedule.java
@@ -79,25 +79,28 @@
         return new Found(seed, left, run(left, true).orElse("not repeatable"));
     }
 
-    /**
-     * Runs every schedule of possible steps up to the depth. Returns the number of schedules and the first violation.
-     */
-    Exhausted exhaust(List<Step> alphabet, int depth) {
+    /** The result of an exhaustive search. */
+    record Exhausted(long schedules, Optional<Found> found) {}
+
+    /** Runs the prefix followed by every schedule of possible steps up to the depth. */
+    Exhausted exhaust(List<Step> prefix, List<Step> alphabet, int depth) {
         List<Exhausted> parts = alphabet.parallelStream()
-                .map(first -> {
-                    List<Step> prefix = new ArrayList<>(List.of(first));
-                    return possible(prefix) ? explore(prefix, alphabet, depth) : new Exhausted(0, Optional.empty());
-                })
+                .flatMap(first -> alphabet.stream().map(second -> {
+                    List<Step> steps = new ArrayList<>(prefix);
+                    steps.add(first);
+                    if (!lastIsPossible(steps)) {
+                        return new Exhausted(0, Optional.empty());
+                    }
+                    steps.add(second);
+                    return explore(steps, alphabet, depth - 2);
+                }))
                 .toList();
         return new Exhausted(
                 parts.stream().mapToLong(Exhausted::schedules).sum(),
                 parts.stream().flatMap(p -> p.found().stream()).findFirst());
     }
 
-    /** The result of an exhaustive search. */
-    record Exhausted(long schedules, Optional<Found> found) {}
-
-    private boolean possible(List<Step> steps) {
+    private boolean lastIsPossible(List<Step> steps) {
         World world = new World(size, mechanisms.get());
         boolean last = false;
         for (Step step : steps) {
@@ -106,23 +109,22 @@
         return last;
     }
 
-    private Exhausted explore(List<Step> prefix, List<Step> alphabet, int depth) {
-        Optional<String> violated = run(prefix, true);
+    private Exhausted explore(List<Step> steps, List<Step> alphabet, int more) {
+        if (!lastIsPossible(steps)) {
+            return new Exhausted(0, Optional.empty());
+        }
+        Optional<String> violated = run(steps, true);
         if (violated.isPresent()) {
-            return new Exhausted(1, Optional.of(new Found(-1, List.copyOf(prefix), violated.get())));
+            return new Exhausted(1, Optional.of(new Found(-1, List.copyOf(steps), violated.get())));
         }
         long schedules = 1;
-        if (prefix.size() < depth) {
-            for (Step next : alphabet) {
-                prefix.add(next);
-                if (possible(prefix)) {
-                    Exhausted below = explore(prefix, alphabet, depth);
-                    schedules += below.schedules();
-                    if (below.found().isPresent()) {
-                        return new Exhausted(schedules, below.found());
-                    }
-                }
-                prefix.remove(prefix.size() - 1);
+        for (Step next : more > 0 ? alphabet : List.<Step>of()) {
+            steps.add(next);
+            Exhausted below = explore(steps, alphabet, more - 1);
+            steps.remove(steps.size() - 1);
+            schedules += below.schedules();
+            if (below.found().isPresent()) {
+                return new Exhausted(schedules, below.found());
             }
         }
         return new Exhausted(schedules, Optional.empty());
--- a/core/src/test/java/io/hornbeamfield/core/search/World.java
+++ b/core/src/test/java/io/hornbeamfield/core/search/World.java
@@ -238,6 +238,7 @@
                 request.done = true;
                 request.toldNotRun = !request.uncertain;
             }
+            default -> throw new IllegalArgumentException(answer.toString());
         }
     }
 
