--- a/core/src/main/java/io/hornbeamfield/core/budget/AllotmentPlanner.java
+++ b/core/src/main/java/io/hornbeamfield/core/budget/AllotmentPlanner.java
@@ -25,8 +25,8 @@
     }
 
     /**
-     * Returns the next action. The need is the number of tokens that waiting requests lack now; it is taken even when
-     * the target is smaller.
+     * Returns the next action. The need is the number of tokens that the waiting requests reserve together; it is taken
+     * even when the target is smaller.
      */
     public AllotmentAction next(Allotment allotment, DemandRate rate, long need, BudgetRecord seen, int liveRouters) {
         long available = allotment.available();
