--- /dev/null
+++ b/ctl/src/test/java/io/hornbeamfield/ctl/DeployDocumentsTest.java
@@ -0,0 +1,54 @@
+package io.hornbeamfield.ctl;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.hash.Hashing;
+import io.hornbeamfield.net.json.Json;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against sample documents and pages that no longer fit the code. */
+class DeployDocumentsTest {
+    private static final Path ROOT = Path.of("..");
+
+    private static String read(String path) throws IOException {
+        return Files.readString(ROOT.resolve(path));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"quabbin", "lampka"})
+    void eachFleetsDocumentIsAcceptedAndItsDemoKeysMatch(String fleet) throws IOException {
+        try (CtlFixture ctl = new CtlFixture()) {
+            String document = read("deploy/" + fleet + "/configuration.json");
+            CtlFixture.Outcome outcome = ctl.withDocument("apply", document);
+            assertThat(outcome.err()).isEmpty();
+            JsonNode stored = ctl.get();
+            JsonNode keys =
+                    Json.parse(read("deploy/" + fleet + "/demo-keys.json").getBytes(UTF_8));
+            assertThat(keys.size()).isEqualTo(stored.path("workspaces").size());
+            keys.fields()
+                    .forEachRemaining(k -> assertThat(stored.path("workspaces")
+                                    .path(k.getKey())
+                                    .at("/keyHashes/0")
+                                    .asText())
+                            .isEqualTo(Hashing.sha256()
+                                    .hashString(k.getValue().asText(), UTF_8)
+                                    .toString()));
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"quabbin", "lampka"})
+    void eachFleetsToolSettingsAreRead(String fleet) {
+        CtlFixture.Outcome outcome = CtlFixture.runExactly(
+                "--settings",
+                ROOT.resolve("deploy/" + fleet + "/hornbeamctl.json").toString(),
+                "get");
+        assertThat(outcome.err()).contains("5001 PLATFORM_UNAVAILABLE");
+    }
+}
