--- a/router/src/main/java/io/hornbeamfield/router/control/internal/LedgerController.java
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/LedgerController.java
@@ -1,6 +1,7 @@
 package io.hornbeamfield.router.control.internal;
 
 import io.hornbeamfield.core.identity.RequestKey;
+import io.hornbeamfield.core.ledger.LedgerBatch;
 import io.hornbeamfield.core.ledger.LedgerRecord.Bill;
 import io.hornbeamfield.core.ledger.LedgerWriter;
 import io.hornbeamfield.core.ledger.PendingWrite;
@@ -100,14 +101,14 @@
     }
 
     private void written(PendingWrite write, WriteResult result) {
+        Optional<LedgerBatch> stored = Takeover.stored(result);
         if (result instanceof WriteResult.Applied) {
             context.metrics()
                     .counter("control.ledger.records")
                     .inc(write.batch().records().size());
             settled(writer.applied());
-        } else if (result instanceof WriteResult.Conflict conflict
-                && conflict.current().isPresent()) {
-            settled(writer.conflict(Takeover.batch(conflict.current().get())));
+        } else if (stored.isPresent()) {
+            settled(writer.conflict(stored.get()));
         } else {
             unknown();
         }
--- a/router/src/main/java/io/hornbeamfield/router/control/internal/OrdersLease.java
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/OrdersLease.java
@@ -4,6 +4,7 @@
 import io.hornbeamfield.net.json.Json;
 import io.hornbeamfield.net.platform.VersionedValue;
 import io.hornbeamfield.net.platform.WriteResult;
+import java.io.UncheckedIOException;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
@@ -36,6 +37,8 @@
     /** The platform object. A duration of 0 means that the holder gave the lease up. */
     record Lease(String holder, long fence, long durationMs) {}
 
+    private record Seen(Lease lease, long version) {}
+
     OrdersLease(ControlContext context) {
         this.context = context;
     }
@@ -47,7 +50,11 @@
         if (holding) {
             write(version, new Lease(context.incarnation(), fence, DURATION.toMillis()));
         } else {
-            context.loop().onDone(context.platform().read(KEY), this::follow, failure -> again(RETRY));
+            context.loop()
+                    .onDone(
+                            context.platform().read(KEY).thenApply(v -> v.map(OrdersLease::parse)),
+                            this::follow,
+                            failure -> again(RETRY));
         }
     }
 
@@ -64,12 +71,25 @@
         return fence;
     }
 
-    private void follow(Optional<VersionedValue> value) {
+    private static Seen parse(VersionedValue value) {
+        return new Seen(Json.read(value.value(), Lease.class), value.version());
+    }
+
+    private static Optional<Lease> readable(VersionedValue value) {
+        try {
+            return Optional.of(parse(value).lease());
+        } catch (UncheckedIOException e) {
+            LOG.errorf("The object %s cannot be read. Remove it.", KEY);
+            return Optional.empty();
+        }
+    }
+
+    private void follow(Optional<Seen> value) {
         if (value.isEmpty()) {
             write(0, new Lease(context.incarnation(), 1, DURATION.toMillis()));
             return;
         }
-        Lease lease = Json.read(value.get().value(), Lease.class);
+        Lease lease = value.get().lease();
         seen(value.get().version());
         if (isOwn(lease)) {
             adopt(lease);
@@ -138,7 +158,7 @@
 
     private void conflict(Optional<VersionedValue> current) {
         current.ifPresent(c -> seen(c.version()));
-        Optional<Lease> stored = current.map(c -> Json.read(c.value(), Lease.class));
+        Optional<Lease> stored = current.flatMap(OrdersLease::readable);
         if (stored.filter(this::isOwn).isPresent()) {
             adopt(stored.get());
             return;
--- a/router/src/main/java/io/hornbeamfield/router/control/internal/Takeover.java
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/Takeover.java
@@ -7,11 +7,16 @@
 import io.hornbeamfield.net.json.Json;
 import io.hornbeamfield.net.platform.VersionedValue;
 import io.hornbeamfield.net.platform.WriteResult;
+import java.io.UncheckedIOException;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.function.Consumer;
+import org.jboss.logging.Logger;
 
 /** Runs one {@link TakeoverProcess} against the platform, with new attempts until it has ended. */
 final class Takeover {
+    private static final Logger LOG = Logger.getLogger(Takeover.class);
+
     private final ControlContext context;
     private final LedgerReader reader;
     private final TakeoverProcess process;
@@ -59,12 +64,12 @@
     }
 
     private void created(WriteResult result) {
+        Optional<LedgerBatch> stored = stored(result);
         if (result instanceof WriteResult.Applied) {
             context.count("ledger.takeovers");
             process.applied();
-        } else if (result instanceof WriteResult.Conflict conflict
-                && conflict.current().isPresent()) {
-            process.conflict(batch(conflict.current().get()));
+        } else if (stored.isPresent()) {
+            process.conflict(stored.get());
         } else {
             retry();
             return;
@@ -73,8 +78,19 @@
         proceed();
     }
 
-    static LedgerBatch batch(VersionedValue value) {
-        return Json.read(value.value(), LedgerBatch.class);
+    /** Returns the batch that a conflict shows, empty if there is none or if it cannot be read. */
+    static Optional<LedgerBatch> stored(WriteResult result) {
+        if (!(result instanceof WriteResult.Conflict conflict)
+                || conflict.current().isEmpty()) {
+            return Optional.empty();
+        }
+        VersionedValue value = conflict.current().get();
+        try {
+            return Optional.of(Json.read(value.value(), LedgerBatch.class));
+        } catch (UncheckedIOException e) {
+            LOG.errorf("The ledger object %s cannot be read. Bills wait until it is corrected.", value.key());
+            return Optional.empty();
+        }
     }
 
     private void retry() {
