Test unreadable lease and ledger objects

Change: one test each; both ask that work goes on after the object is removed. Conclusion: the recovery is guarded.

--- a/router/src/test/java/io/hornbeamfield/router/control/internal/LedgerTest.java
+++ b/router/src/test/java/io/hornbeamfield/router/control/internal/LedgerTest.java
@@ -143,4 +143,18 @@
         assertThat(b.ledger.pending()).isZero();
         assertThat(b.platform.reads).isEqualTo(1);
     }
+
+    @Test
+    void billsWaitWhileALedgerObjectCannotBeRead() {
+        store.put("ledger/a-00000001/00000001", "not a batch");
+        var stored = own(a, "nonce001");
+        var taken = foreign(b, a, "nonce002");
+        settleDown();
+        assertThat(stored.isDone() || taken.isDone()).isFalse();
+        store.objects.remove("ledger/a-00000001/00000001");
+        settleDown();
+        assertThat(stored.isDone() && taken.isDone()).isTrue();
+        assertThat(bills("nonce001")).isEqualTo(1);
+        assertThat(bills("nonce002")).isEqualTo(1);
+    }
 }
--- a/router/src/test/java/io/hornbeamfield/router/control/internal/OrdersLeaseTest.java
+++ b/router/src/test/java/io/hornbeamfield/router/control/internal/OrdersLeaseTest.java
@@ -104,4 +104,15 @@
         first.fencedOff();
         assertThat(first.mayOrder()).isFalse();
     }
+
+    @Test
+    void anUnreadableLeaseEndsOrdersUntilItIsRemoved() {
+        loop.advanceMillis(1_000);
+        store.put(OrdersLease.KEY, "not a lease");
+        loop.advance(Duration.ofMinutes(2));
+        assertThat(first.mayOrder() || second.mayOrder()).isFalse();
+        store.objects.remove(OrdersLease.KEY);
+        loop.advance(Duration.ofSeconds(15));
+        assertThat(first.mayOrder() ^ second.mayOrder()).isTrue();
+    }
 }
