--- a/core/src/main/java/io/hornbeamfield/core/admission/AdmissionQueue.java
+++ b/core/src/main/java/io/hornbeamfield/core/admission/AdmissionQueue.java
@@ -253,10 +253,17 @@
                 .retryAfter(after);
     }
 
-    private void release(String workspace, Optional<Instant> measuredFrom) {
+    /**
+     * A request that ended early says nothing about the service time, unless it held its place longer than most do:
+     * then it was probably cut off at its deadline, and leaving it out would make the estimate too low under overload.
+     */
+    private void release(String workspace, Instant startedAt, boolean complete) {
         List<Runnable> decisions = new ArrayList<>();
         synchronized (this) {
-            measuredFrom.ifPresent(from -> times.measured(workspace, Duration.between(from, clock.instant())));
+            Duration held = Duration.between(startedAt, clock.instant());
+            if (complete || held.toMillis() > times.likelyMillis(workspace)) {
+                times.measured(workspace, held);
+            }
             running--;
             startWaiting(decisions);
         }
@@ -283,14 +290,14 @@
         @Override
         public void finished() {
             if (held.compareAndSet(true, false)) {
-                release(workspace, Optional.of(startedAt));
+                release(workspace, startedAt, true);
             }
         }
 
         @Override
         public void close() {
             if (held.compareAndSet(true, false)) {
-                release(workspace, Optional.empty());
+                release(workspace, startedAt, false);
             }
         }
     }
--- a/core/src/main/java/io/hornbeamfield/core/admission/AdmissionSlot.java
+++ b/core/src/main/java/io/hornbeamfield/core/admission/AdmissionSlot.java
@@ -12,7 +12,10 @@
     /** Frees the place and counts the time it was held as a measured service time. */
     void finished();
 
-    /** Frees the place if it is still held, without measuring: the request failed or its caller went away. */
+    /**
+     * Frees the place if it is still held: the request failed or its caller went away. The time is measured only if it
+     * is longer than usual.
+     */
     @Override
     void close();
 }
--- a/core/src/main/java/io/hornbeamfield/core/routing/BackendChoosers.java
+++ b/core/src/main/java/io/hornbeamfield/core/routing/BackendChoosers.java
@@ -16,7 +16,7 @@
  */
 public final class BackendChoosers {
     /** Bytes of uncached prompt that weigh as much as one request ahead. */
-    public static final long BYTES_PER_QUEUED_REQUEST = 2_000;
+    public static final long BYTES_PER_QUEUED_REQUEST = 500;
 
     private BackendChoosers() {}
 
--- a/core/src/main/java/io/hornbeamfield/core/routing/PrefixIndex.java
+++ b/core/src/main/java/io/hornbeamfield/core/routing/PrefixIndex.java
@@ -71,7 +71,10 @@
         }
 
         synchronized void event(long seq, String hash, boolean stored) {
-            if (seq <= lastSeq) {
+            if (seq == lastSeq) {
+                return;
+            }
+            if (seq < lastSeq) {
                 // The numbers of a server start again only when it has restarted with an empty cache.
                 prefixes.clear();
             } else if (lastSeq > 0) {
--- a/core/src/test/java/io/hornbeamfield/core/admission/AdmissionQueueTest.java
+++ b/core/src/test/java/io/hornbeamfield/core/admission/AdmissionQueueTest.java
@@ -115,6 +115,21 @@
         assertThat(started).doesNotContain("waiting");
     }
 
+    @Test
+    void requestsThatAreCutOffAfterLongRaiseTheEstimateAndQuickFailuresDoNotLowerIt() {
+        submit("measured", "w");
+        finish("measured", 1_000);
+        submit("failed", "w");
+        slots.get("failed").close();
+        submit("cut-off", "w");
+        clock.advance(Duration.ofMillis(5_000));
+        slots.get("cut-off").close();
+        submit("running", "w");
+        submit("waiting", "w", Priority.NORMAL, in(3_500));
+        submit("hopeless", "w", Priority.NORMAL, in(2_500));
+        assertThat(refused).containsOnlyKeys("hopeless");
+    }
+
     @Test
     void aFreeSlotIsGivenEvenToADeadlineThatIsShorterThanTheMean() {
         submit("measured", "w");
--- a/core/src/test/java/io/hornbeamfield/core/routing/PrefixIndexTest.java
+++ b/core/src/test/java/io/hornbeamfield/core/routing/PrefixIndexTest.java
@@ -54,6 +54,14 @@
         assertThat(cached("new")).isEqualTo(10);
     }
 
+    @Test
+    void anEventThatIsReadTwiceChangesNothing() {
+        index.stored("s", 4, "p4");
+        index.stored("s", 5, "p5");
+        index.stored("s", 5, "p5");
+        assertThat(cached("p4")).isEqualTo(10);
+    }
+
     @Test
     void aPrefixDependsOnAllThatComesBeforeIt() {
         String a = PromptPrefix.builder()
