--- a/load/src/main/java/io/hornbeamfield/load/routing/RoutingBench.java
+++ b/load/src/main/java/io/hornbeamfield/load/routing/RoutingBench.java
@@ -153,6 +153,7 @@
                 "at twice",
                 "ratio %",
                 "refused at twice %",
+                "cut off at twice %",
                 "recovery s");
         choosers().forEach((name, chooser) -> {
             double capacity = capacity(chooser);
@@ -170,7 +171,6 @@
         RunResult r = FleetModel.replay(trace, seed, chooser, limits(maxConcurrent, true), 100_000_000L);
         double at = r.goodput(40, 100);
         double twice = r.goodput(100, 160);
-        double offeredAtTwice = 2 * capacity;
         row(
                 name,
                 maxConcurrent,
@@ -178,7 +178,8 @@
                 at,
                 twice,
                 100 * twice / at,
-                100 * (1 - twice / offeredAtTwice),
+                100 * r.refusedShare(100, 160),
+                100 * r.cutOffShare(100, 160),
                 r.recoverySeconds(160, 220));
     }
 
--- a/load/src/main/java/io/hornbeamfield/load/routing/RunResult.java
+++ b/load/src/main/java/io/hornbeamfield/load/routing/RunResult.java
@@ -12,7 +12,6 @@
     private final Histogram nextTokens = new Histogram(3);
     private final Map<String, Long> offered = new HashMap<>();
     private final Map<String, Long> finished = new HashMap<>();
-    private final Map<String, Long> refused = new HashMap<>();
     private final Map<Long, long[]> bySecond = new HashMap<>();
     private long promptTokens;
     private long hitTokens;
@@ -26,16 +25,14 @@
     }
 
     void offered(TraceRequest r) {
-        bySecond.computeIfAbsent(r.atMicros() / 1_000_000, s -> new long[2])[0]++;
+        bySecond.computeIfAbsent(r.atMicros() / 1_000_000, s -> new long[3])[0]++;
         if (counts(r)) {
             offered.merge(r.workspace(), 1L, Long::sum);
         }
     }
 
     void refused(TraceRequest r) {
-        if (counts(r)) {
-            refused.merge(r.workspace(), 1L, Long::sum);
-        }
+        bySecond.computeIfAbsent(r.atMicros() / 1_000_000, s -> new long[3])[2]++;
     }
 
     void firstToken(TraceRequest r, long micros) {
@@ -51,7 +48,7 @@
     }
 
     void finished(TraceRequest r, long atMicros) {
-        bySecond.computeIfAbsent(r.atMicros() / 1_000_000, s -> new long[2])[1]++;
+        bySecond.computeIfAbsent(r.atMicros() / 1_000_000, s -> new long[3])[1]++;
         if (counts(r)) {
             finished.merge(r.workspace(), 1L, Long::sum);
         }
@@ -85,8 +82,16 @@
         return (double) sum(finished, workspaces) / Math.max(1, sum(offered, workspaces));
     }
 
-    double refusedShare() {
-        return (double) sum(refused, w -> true) / Math.max(1, sum(offered, w -> true));
+    /** Returns the share of the requests that arrived in the given seconds and were refused without running. */
+    double refusedShare(long fromSecond, long toSecond) {
+        return total(fromSecond, toSecond, 2) / (double) Math.max(1, total(fromSecond, toSecond, 0));
+    }
+
+    /** Returns the share of the requests that arrived in the given seconds, ran and did not end in time. */
+    double cutOffShare(long fromSecond, long toSecond) {
+        long offeredThen = total(fromSecond, toSecond, 0);
+        long cutOff = offeredThen - total(fromSecond, toSecond, 1) - total(fromSecond, toSecond, 2);
+        return cutOff / (double) Math.max(1, offeredThen);
     }
 
     /** Returns the requests that arrived in the given seconds and ended within their deadline, per second. */
