--- a/standins/src/main/java/io/hornbeamfield/standins/engine/Main.java
+++ b/standins/src/main/java/io/hornbeamfield/standins/engine/Main.java
@@ -1,5 +1,6 @@
 package io.hornbeamfield.standins.engine;
 
+import io.hornbeamfield.net.log.Logs;
 import io.hornbeamfield.standins.internal.Program;
 import io.hornbeamfield.standins.internal.StandInOptions;
 import java.time.Duration;
@@ -12,6 +13,7 @@
 
     /** Starts the stand-in and serves until SIGTERM. */
     public static void main(String[] args) {
+        Logs.setUp();
         StandInOptions o = StandInOptions.of("standin-engine", "Simulated model engine")
                 .option("address", "127.0.0.1:7100", "address to listen on")
                 .option("models", "m", "loaded models, separated by commas")
--- a/standins/src/main/java/io/hornbeamfield/standins/faultproxy/Main.java
+++ b/standins/src/main/java/io/hornbeamfield/standins/faultproxy/Main.java
@@ -1,5 +1,6 @@
 package io.hornbeamfield.standins.faultproxy;
 
+import io.hornbeamfield.net.log.Logs;
 import io.hornbeamfield.standins.internal.Program;
 import io.hornbeamfield.standins.internal.StandInOptions;
 import java.util.Map;
@@ -12,6 +13,7 @@
 
     /** Starts the proxy and serves until SIGTERM. */
     public static void main(String[] args) {
+        Logs.setUp();
         StandInOptions o = StandInOptions.of("fault-proxy", "TCP proxy with controllable faults")
                 .option("address", "127.0.0.1:7300", "address of the control endpoint")
                 .option("links", "", "links to start with, as name=listen/target, separated by commas")
--- a/standins/src/main/java/io/hornbeamfield/standins/platform/Main.java
+++ b/standins/src/main/java/io/hornbeamfield/standins/platform/Main.java
@@ -1,6 +1,7 @@
 package io.hornbeamfield.standins.platform;
 
 import io.hornbeamfield.net.json.Json;
+import io.hornbeamfield.net.log.Logs;
 import io.hornbeamfield.standins.internal.Program;
 import io.hornbeamfield.standins.internal.StandInOptions;
 import java.util.Map;
@@ -11,6 +12,7 @@
 
     /** Starts the stand-in and serves until SIGTERM. */
     public static void main(String[] args) {
+        Logs.setUp();
         StandInOptions o = StandInOptions.of("standin-platform", "Simulated object API")
                 .option("address", "127.0.0.1:7000", "address of the object API")
                 .option("controlAddress", "127.0.0.1:7001", "address of the control endpoints")
--- a/standins/src/main/java/io/hornbeamfield/standins/service/Main.java
+++ b/standins/src/main/java/io/hornbeamfield/standins/service/Main.java
@@ -1,5 +1,6 @@
 package io.hornbeamfield.standins.service;
 
+import io.hornbeamfield.net.log.Logs;
 import io.hornbeamfield.standins.internal.Program;
 import io.hornbeamfield.standins.internal.StandInOptions;
 import java.util.Map;
@@ -10,6 +11,7 @@
 
     /** Starts the stand-in and serves until SIGTERM. */
     public static void main(String[] args) {
+        Logs.setUp();
         StandInOptions o = StandInOptions.of("standin-service", "Simulated plain service")
                 .option("address", "127.0.0.1:7200", "address to listen on")
                 .option("delayMs", "0", "time that each call takes")
