Identify judged requests by content

Cause: the caller library does not tell its caller the request keys.

Change: engine records carry the identity of the prompt, and the judge joins callers and far ends by it, or by the path of a service call.

Ruled out: exposing keys in the client's outcomes only for tests.

Conclusion: a request that runs under two keys is now found as well.

--- a/it/src/main/java/io/hornbeamfield/it/judge/CallerOutcome.java
+++ b/it/src/main/java/io/hornbeamfield/it/judge/CallerOutcome.java
@@ -3,11 +3,11 @@
 import java.util.OptionalInt;
 
 /**
- * What a caller experienced with one request. The key is empty if the request never got one; {@code needTokens} is the
- * worst case that a router reserves; times are epoch milliseconds.
+ * What a caller experienced with one request. The id is that of {@link FarEnds}; {@code needTokens} is the worst case
+ * that a router reserves; times are epoch milliseconds.
  */
 public record CallerOutcome(
-        String key,
+        String id,
         String workspace,
         String budget,
         boolean model,
--- a/it/src/main/java/io/hornbeamfield/it/judge/FarEnds.java
+++ b/it/src/main/java/io/hornbeamfield/it/judge/FarEnds.java
@@ -1,14 +1,20 @@
 package io.hornbeamfield.it.judge;
 
 import io.hornbeamfield.core.ledger.LedgerRecord;
+import io.hornbeamfield.standins.engine.ChatMessage;
 import io.hornbeamfield.standins.engine.EngineRecord;
+import io.hornbeamfield.standins.engine.ReplyText;
 import io.hornbeamfield.standins.service.ServiceRecord;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 
 /**
  * What the far ends recorded: all engine runs, all service runs, all bills in all ledgers, the grants of each budget
- * over time and the tokens that a service call costs.
+ * over time and the tokens that a service call costs. A caller does not learn the keys that its library uses, so a
+ * request is identified by its content: each model request has a prompt of its own and each service call a path.
  */
 public record FarEnds(
         List<EngineRecord> engineRuns,
@@ -24,14 +30,36 @@
         grants = Map.copyOf(grants);
     }
 
-    /** Returns the request key that an engine request id belongs to. Routers append their attempt after a tilde. */
-    public static String keyOf(EngineRecord run) {
+    /** Returns the id of a model request. */
+    public static String idOf(String workspace, List<ChatMessage> messages) {
+        return workspace + ":" + ReplyText.identity(workspace, messages);
+    }
+
+    static String idOf(EngineRecord run) {
+        return run.workspace() + ":" + run.identity();
+    }
+
+    static String idOf(ServiceRecord run) {
+        return run.path();
+    }
+
+    /** Routers append their attempt to the key after a tilde. */
+    static String keyOf(EngineRecord run) {
         int tilde = run.requestId().indexOf('~');
         return tilde < 0 ? run.requestId() : run.requestId().substring(0, tilde);
     }
 
-    /** Returns the tokens that an engine really read and produced. */
-    public static long tokensOf(EngineRecord run) {
+    static long tokensOf(EngineRecord run) {
         return (long) run.promptTokens() + run.completionTokens();
     }
+
+    /** Returns the keys under which each request ran, by request id. */
+    Map<String, Set<String>> keysById() {
+        Map<String, Set<String>> keys = new HashMap<>();
+        engineRuns.forEach(
+                run -> keys.computeIfAbsent(idOf(run), id -> new TreeSet<>()).add(keyOf(run)));
+        serviceRuns.forEach(
+                run -> keys.computeIfAbsent(idOf(run), id -> new TreeSet<>()).add(run.key()));
+        return keys;
+    }
 }
--- a/it/src/main/java/io/hornbeamfield/it/judge/Judge.java
+++ b/it/src/main/java/io/hornbeamfield/it/judge/Judge.java
@@ -6,7 +6,6 @@
 import io.hornbeamfield.standins.service.ServiceRecord;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -25,15 +24,15 @@
 public final class Judge {
     private final FarEnds ends;
     private final List<CallerOutcome> outcomes;
-    private final Map<String, CallerOutcome> byKey;
+    private final Map<String, CallerOutcome> byId;
+    private final Map<String, Set<String>> keysById;
     private final List<String> broken = new ArrayList<>();
 
     public Judge(FarEnds ends, List<CallerOutcome> outcomes) {
         this.ends = ends;
         this.outcomes = List.copyOf(outcomes);
-        this.byKey = outcomes.stream()
-                .filter(o -> !o.key().isEmpty())
-                .collect(Collectors.toMap(CallerOutcome::key, Function.identity(), (a, b) -> a));
+        this.byId = outcomes.stream().collect(Collectors.toMap(CallerOutcome::id, Function.identity()));
+        this.keysById = ends.keysById();
     }
 
     /** Returns the counts and the broken promises. */
@@ -91,7 +90,7 @@
             used.merge(budgetOf(run), FarEnds.tokensOf(run), Long::sum);
         }
         for (ServiceRecord run : ends.serviceRuns()) {
-            CallerOutcome caller = byKey.get(run.key());
+            CallerOutcome caller = byId.get(FarEnds.idOf(run));
             if (caller != null) {
                 used.merge(caller.budget(), run.count() * ends.tokensPerCall(), Long::sum);
             }
@@ -100,49 +99,60 @@
     }
 
     private String budgetOf(EngineRecord run) {
-        CallerOutcome caller = byKey.get(FarEnds.keyOf(run));
+        CallerOutcome caller = byId.get(FarEnds.idOf(run));
         return caller == null ? run.workspace() : caller.budget();
     }
 
-    /** P2: no request has two bills, and each whole answer has one. */
+    /** P2: no request has two bills, whatever its keys, and each whole answer has one. */
     private long doubleBilled() {
-        Map<String, Long> bills =
+        Map<String, Long> billsByKey =
                 ends.bills().stream().collect(Collectors.groupingBy(Bill::requestId, Collectors.counting()));
         long twice = 0;
-        for (var entry : bills.entrySet()) {
-            if (entry.getValue() > 1) {
+        for (var entry : keysById.entrySet()) {
+            long bills = 0;
+            for (String key : entry.getValue()) {
+                Long found = billsByKey.remove(key);
+                bills += found == null ? 0 : found;
+            }
+            if (bills > 1) {
                 twice++;
-                broken.add("P2: request " + entry.getKey() + " has " + entry.getValue() + " bills");
+                broken.add("P2: request " + entry.getKey() + " " + entry.getValue() + " has " + bills + " bills");
             }
-        }
-        for (CallerOutcome o : outcomes) {
-            if (o.kind() == Kind.ANSWERED && !bills.containsKey(o.key())) {
-                broken.add("P2: answered request " + o.key() + " has no bill");
+            CallerOutcome caller = byId.get(entry.getKey());
+            if (caller != null && caller.kind() == Kind.ANSWERED && bills == 0) {
+                broken.add("P2: answered request " + entry.getKey() + " " + entry.getValue() + " has no bill");
             }
         }
+        billsByKey.forEach((key, bills) -> broken.add("P2: request " + key + " never ran but is billed"));
         return twice;
     }
 
     /** P5. */
     private long doubleRun() {
+        Map<String, Integer> runs = ends.serviceRuns().stream()
+                .collect(Collectors.groupingBy(FarEnds::idOf, Collectors.summingInt(ServiceRecord::count)));
         long twice = 0;
-        for (ServiceRecord run : ends.serviceRuns()) {
-            if (run.count() > 1) {
+        for (var entry : runs.entrySet()) {
+            if (entry.getValue() > 1) {
                 twice++;
-                broken.add("P5: call " + run.key() + " of " + run.path() + " ran " + run.count() + " times");
+                broken.add("P5: call " + entry.getKey() + " " + keysById.get(entry.getKey()) + " ran "
+                        + entry.getValue() + " times");
             }
         }
         return twice;
     }
 
-    /** P4. */
+    /**
+     * P4. A caller's library uses a new key only after the old one was refused as not run, so a request that ran under
+     * two keys was refused falsely too.
+     */
     private void checkRefusedDidNotRun() {
-        Set<String> ran = new HashSet<>();
-        ends.engineRuns().forEach(run -> ran.add(FarEnds.keyOf(run)));
-        ends.serviceRuns().forEach(run -> ran.add(run.key()));
         for (CallerOutcome o : outcomes) {
-            if (o.kind() == Kind.REFUSED_NOT_RUN && ran.contains(o.key())) {
-                broken.add("P4: request " + o.key() + " was refused as not run (" + o.code() + ") but ran");
+            Set<String> keys = keysById.getOrDefault(o.id(), Set.of());
+            if (o.kind() == Kind.REFUSED_NOT_RUN && !keys.isEmpty()) {
+                broken.add("P4: request " + o.id() + " " + keys + " was refused as not run " + o.code() + " but ran");
+            } else if (keys.size() > 1) {
+                broken.add("P4: request " + o.id() + " ran under the keys " + keys);
             }
         }
     }
@@ -151,7 +161,7 @@
     private void checkAnswers() {
         for (CallerOutcome o : outcomes) {
             if (o.kind() == Kind.WRONG_ANSWER) {
-                broken.add("P3: request " + o.key() + " got a wrong answer: " + o.detail());
+                broken.add("P3: request " + o.id() + " got a wrong answer: " + o.detail());
             }
         }
     }
@@ -174,7 +184,7 @@
             }
         }
         for (ServiceRecord run : ends.serviceRuns()) {
-            CallerOutcome caller = byKey.get(run.key());
+            CallerOutcome caller = byId.get(FarEnds.idOf(run));
             if (caller != null && caller.budget().equals(o.budget()) && run.firstMs() <= at) {
                 used += ends.tokensPerCall();
             }
--- a/it/src/test/java/io/hornbeamfield/it/judge/JudgeTest.java
+++ b/it/src/test/java/io/hornbeamfield/it/judge/JudgeTest.java
@@ -24,13 +24,24 @@
         return new Judge(new FarEnds(runs, calls, bills, Map.of("w", grant), 10), outcomes).verdict();
     }
 
-    private void outcome(String key, Kind kind, int code, long atMs) {
+    private void outcome(String name, Kind kind, int code, long atMs) {
         outcomes.add(new CallerOutcome(
-                key, "w", "w", true, 30, atMs, atMs, kind, code == 0 ? OptionalInt.empty() : OptionalInt.of(code), ""));
+                "w:" + name,
+                "w",
+                "w",
+                true,
+                30,
+                atMs,
+                atMs,
+                kind,
+                code == 0 ? OptionalInt.empty() : OptionalInt.of(code),
+                ""));
     }
 
+    /** The content of the request is the part of the engine request id before the first point or tilde. */
     private void run(String id, int tokens, long startedMs, long endedMs) {
-        runs.add(new EngineRecord(id, "w", "m", 0, tokens, tokens, startedMs, endedMs, "finished"));
+        String content = id.replaceAll("[.~].*", "");
+        runs.add(new EngineRecord(id, "w", content, "m", 0, tokens, tokens, startedMs, endedMs, "finished"));
     }
 
     private void bill(String key, long tokens) {
@@ -61,29 +72,50 @@
     void serviceCallsCountAsSpend() {
         run("k1~0a~1", 95, 1, 4);
         outcome("k2", Kind.UNKNOWN, 4001, 5);
-        calls.add(new ServiceRecord("k2", "", "/orders", 1, 1, 1));
+        calls.add(new ServiceRecord("key", "", "w:k2", 1, 1, 1));
         assertThat(verdict().overspendTokens()).isEqualTo(5);
     }
 
     @Test
     void secondBillOfARequestIsDoubleBilled() {
         outcome("k1", Kind.ANSWERED, 0, 5);
+        run("k1~0a~1", 10, 1, 4);
         bill("k1", 10);
         bill("k1", 10);
         assertThat(verdict().doubleBilled()).isEqualTo(1);
         assertThat(verdict().kept()).isFalse();
     }
 
+    @Test
+    void billsUnderTwoKeysOfOneRequestAreDoubleBilled() {
+        outcome("k1", Kind.ANSWERED, 0, 5);
+        run("k1.a~0a~1", 10, 1, 4);
+        run("k1.b~0a~1", 10, 1, 4);
+        bill("k1.a", 10);
+        bill("k1.b", 10);
+        assertThat(verdict().doubleBilled()).isEqualTo(1);
+        assertThat(verdict().brokenPromises()).anyMatch(p -> p.startsWith("P4"));
+    }
+
+    @Test
+    void billWithoutARunBreaksAPromise() {
+        bill("k1", 10);
+        assertThat(verdict().brokenPromises()).anyMatch(p -> p.startsWith("P2") && p.contains("never ran"));
+    }
+
     @Test
     void answeredRequestWithoutABillBreaksAPromise() {
         outcome("k1", Kind.ANSWERED, 0, 5);
+        run("k1~0a~1", 10, 1, 4);
         assertThat(verdict().brokenPromises()).anyMatch(p -> p.startsWith("P2") && p.contains("no bill"));
     }
 
     @Test
     void secondRunOfACallIsDoubleRun() {
-        calls.add(new ServiceRecord("k1", "", "/orders", 2, 1, 2));
-        assertThat(verdict().doubleRun()).isEqualTo(1);
+        calls.add(new ServiceRecord("k1", "", "/orders/1", 2, 1, 2));
+        calls.add(new ServiceRecord("k2", "", "/orders/2", 1, 1, 2));
+        calls.add(new ServiceRecord("k3", "", "/orders/2", 1, 1, 2));
+        assertThat(verdict().doubleRun()).isEqualTo(2);
     }
 
     @Test
--- a/standins/src/main/java/io/hornbeamfield/standins/engine/internal/Run.java
+++ b/standins/src/main/java/io/hornbeamfield/standins/engine/internal/Run.java
@@ -106,6 +106,7 @@
         return new EngineRecord(
                 request.id(),
                 request.workspace(),
+                ReplyText.identity(request.workspace(), request.messages()),
                 request.model(),
                 promptTokens,
                 produced,
