Test the caller library and report call failures unwrapped

Cause: HttpClient.send returned a dependent future, whose callbacks see a CompletionException instead of the documented CallFailure. The router and the client then took "not sent" for "outcome unknown". Change: send returns the future itself. A stream that an engine cancelled is not taken for a whole answer. A token whose text is empty keeps its offset. Ruled out: unwrapping at each call site.

--- a/client/src/main/java/io/hornbeamfield/client/internal/ChatStream.java
+++ b/client/src/main/java/io/hornbeamfield/client/internal/ChatStream.java
@@ -117,9 +117,8 @@
     }
 
     private void part(JsonNode node) {
-        String content =
-                node.path("choices").path(0).path("delta").path("content").asText("");
-        if (!content.isEmpty() && !text.add(node.path("offset").asLong(), content)) {
+        JsonNode content = node.path("choices").path(0).path("delta").path("content");
+        if (content.isTextual() && !text.add(node.path("offset").asLong(), content.asText())) {
             end(new TryEnd.Broken("Parts before offset " + node.path("offset") + " are missing."));
         }
         if (node.has("usage")) {
--- /dev/null
+++ b/client/src/test/java/io/hornbeamfield/client/RetryTest.java
@@ -0,0 +1,132 @@
+package io.hornbeamfield.client;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.hornbeamfield.core.result.Refusal;
+import io.hornbeamfield.core.result.ResultCode;
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class RetryTest {
+    private final FakeRouter first = new FakeRouter("r1-00000001");
+    private final FakeRouter second = new FakeRouter("r2-00000002");
+    private final ChatRequest request =
+            ChatRequest.forModel("m").user("when to sow").build();
+    private final HornbeamfieldClient client = HornbeamfieldClient.builder()
+            .seedAddresses(first.address(), second.address())
+            .workspaceKey("k")
+            .resumeAfterSilence(Duration.ofMillis(300))
+            .maxTries(5)
+            .build();
+
+    @BeforeEach
+    void nameBoth() {
+        first.named = List.of(first, second);
+        second.named = List.of(first, second);
+    }
+
+    @AfterEach
+    void stop() {
+        client.close();
+        first.close();
+        second.close();
+    }
+
+    private Outcome chat() {
+        return client.chat(request, AnswerListener.none()).join();
+    }
+
+    private Outcome order() {
+        return client.call(ServiceCall.post("fees", "/orders").json("{}").build())
+                .join();
+    }
+
+    @Test
+    void keyNamesTheChosenRouterAndHasTheTimeOfTheFleet() {
+        assertThat(chat()).isInstanceOf(Outcome.Answered.class);
+        String[] parts = first.keys.get(0).split("\\.");
+        assertThat(parts[0]).isEqualTo("r1-00000001");
+        long now = java.time.Instant.now().getEpochSecond();
+        assertThat(Long.parseLong(parts[1]) - now)
+                .isBetween(FakeRouter.FLEET_AHEAD_SECONDS - 2, FakeRouter.FLEET_AHEAD_SECONDS + 2);
+    }
+
+    @Test
+    void addressesAreAskedForOnceWhileTheyAreValid() {
+        chat();
+        chat();
+        assertThat(first.lookups + second.lookups).isEqualTo(1);
+        assertThat(first.keys).doesNotHaveDuplicates().hasSize(2);
+    }
+
+    @Test
+    void refusedConnectionLeadsToANewKeyWithAnotherOwner() {
+        chat();
+        first.close();
+        assertThat(order()).isInstanceOf(Outcome.Answered.class);
+        assertThat(second.keys).singleElement().asString().startsWith("r2-00000002.");
+    }
+
+    /** After the request was sent, a new key could run a second order. */
+    @Test
+    void brokenAnswerIsRetriedWithTheSameKeyAtAnotherRouter() {
+        first.script.add(FakeRouter.abort());
+        assertThat(order()).isInstanceOf(Outcome.Answered.class);
+        assertThat(second.keys).isEqualTo(first.keys).hasSize(1);
+    }
+
+    @Test
+    void refusalThatStatesNotRunGetsANewKey() {
+        first.script.add(FakeRouter.refuse(Refusal.of(ResultCode.LEAVING, "")));
+        assertThat(order()).isInstanceOf(Outcome.Answered.class);
+        assertThat(second.keys).singleElement().asString().startsWith("r2-00000002.");
+    }
+
+    @Test
+    void retryAfterIsHonoured() {
+        first.script.add(
+                FakeRouter.refuse(Refusal.of(ResultCode.BUDGET_BUSY, "").retryAfter(1)));
+        long begin = System.nanoTime();
+        assertThat(chat()).isInstanceOf(Outcome.Answered.class);
+        assertThat(System.nanoTime() - begin).isGreaterThan(900_000_000L);
+    }
+
+    @Test
+    void finalRefusalIsReportedAsNotRunWithoutFurtherTries() {
+        first.script.add(FakeRouter.refuse(Refusal.of(ResultCode.BUDGET_EXHAUSTED, "Top up.")));
+        assertThat(chat())
+                .isInstanceOfSatisfying(
+                        Outcome.RefusedNotRun.class,
+                        r -> assertThat(r.refusal().code()).isEqualTo(ResultCode.BUDGET_EXHAUSTED));
+        assertThat(first.keys.size() + second.keys.size()).isEqualTo(1);
+    }
+
+    /** A starting router knows nothing of the earlier try. */
+    @Test
+    void notRunOfARouterThatDidNotLookUpTheKeyDoesNotEndTheDoubt() {
+        first.script.add(FakeRouter.abort());
+        for (FakeRouter r : List.of(first, second, first, second)) {
+            r.script.add(FakeRouter.refuse(Refusal.of(ResultCode.STARTING, "")));
+        }
+        assertThat(order()).isInstanceOf(Outcome.OutcomeUnknown.class);
+        assertThat(first.keys.get(0)).isEqualTo(second.keys.get(0)).isEqualTo(second.keys.get(1));
+    }
+
+    @Test
+    void unknownOutcomeIsAskedForAgainWithTheSameKey() {
+        first.script.add(FakeRouter.abort());
+        second.script.add(FakeRouter.refuse(Refusal.of(ResultCode.OUTCOME_UNKNOWN, "")));
+        assertThat(order()).isInstanceOf(Outcome.Answered.class);
+        assertThat(first.keys).hasSize(2).containsOnly(second.keys.get(0));
+    }
+
+    @Test
+    void fleetThatCannotBeReachedIsReportedAsNotRun() {
+        first.close();
+        second.close();
+        assertThat(chat()).isInstanceOf(Outcome.RefusedNotRun.class);
+    }
+}
--- a/net/src/main/java/io/hornbeamfield/net/http/internal/GrizzlyHttpClient.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/GrizzlyHttpClient.java
@@ -63,7 +63,9 @@
         Exchange exchange = begin(call, new CollectingListener(future));
         var limit = timer.schedule(
                 () -> exchange.fail(timedOut(call)), call.timeout().toMillis(), TimeUnit.MILLISECONDS);
-        return future.whenComplete((reply, failure) -> limit.cancel(false));
+        // A dependent future would wrap the CallFailure in a CompletionException.
+        future.whenComplete((reply, failure) -> limit.cancel(false));
+        return future;
     }
 
     @Override
--- a/net/src/test/java/io/hornbeamfield/net/http/HttpTest.java
+++ b/net/src/test/java/io/hornbeamfield/net/http/HttpTest.java
@@ -84,6 +84,15 @@
         assertThat(failureOf("/echo").kind()).isEqualTo(CallFailure.Kind.CONNECT_FAILED);
     }
 
+    /** Callers decide by the kind of the failure whether a request may be sent again. */
+    @Test
+    void futureFailsWithTheCallFailureItself() {
+        server.close();
+        CompletableFuture<Throwable> seen = new CompletableFuture<>();
+        client.send(HttpCall.get(url("/echo")).build()).whenComplete((reply, failure) -> seen.complete(failure));
+        assertThat(seen.join()).isInstanceOf(CallFailure.class);
+    }
+
     @Test
     void abortedStreamIsReportedAsBrokenAndNotAsComplete() {
         assertThat(failureOf("/abort").kind()).isEqualTo(CallFailure.Kind.BROKEN);
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/EngineEvent.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/EngineEvent.java
@@ -5,21 +5,23 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 
-/** One event of an engine's stream. */
-record EngineEvent(boolean done, long offset, String content, Optional<String> finishReason, Optional<Usage> usage) {
+/** One event of an engine's stream. An event with content is one token, which may be an empty text. */
+record EngineEvent(
+        boolean done, long offset, Optional<String> content, Optional<String> finishReason, Optional<Usage> usage) {
 
     /** Reads the data of an event. Malformed data throws {@link java.io.UncheckedIOException}. */
     static EngineEvent parse(String data) {
         if (data.equals("[DONE]")) {
-            return new EngineEvent(true, 0, "", Optional.empty(), Optional.empty());
+            return new EngineEvent(true, 0, Optional.empty(), Optional.empty(), Optional.empty());
         }
         JsonNode node = Json.parse(data.getBytes(StandardCharsets.UTF_8));
         JsonNode choice = node.path("choices").path(0);
+        JsonNode content = choice.path("delta").path("content");
         JsonNode finish = choice.path("finish_reason");
         return new EngineEvent(
                 false,
                 node.path("offset").asLong(0),
-                choice.path("delta").path("content").asText(""),
+                content.isTextual() ? Optional.of(content.asText()) : Optional.empty(),
                 finish.isTextual() ? Optional.of(finish.asText()) : Optional.empty(),
                 usage(node.path("usage")));
     }
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/ModelAttempt.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/ModelAttempt.java
@@ -22,6 +22,9 @@
     /** A dead engine refuses connections at once, a restarting one for a moment. */
     private static final int MAX_FAILED_CONNECTS = 2;
 
+    /** The finish reason of a stream that another party cancelled; its text is not whole. */
+    private static final String CANCELLED = "cancelled";
+
     private static final long RECONNECT_MS = 250;
 
     private final EngineCalls engine;
@@ -151,14 +154,14 @@
             finish();
             return;
         }
-        if (!event.content().isEmpty()) {
+        if (event.content().isPresent()) {
             if (event.offset() > next) {
                 resume();
                 return;
             }
             if (event.offset() == next) {
                 progress();
-                listener.content(new Chunk(next, event.content()));
+                listener.content(new Chunk(next, event.content().get()));
                 next++;
             }
         }
@@ -173,6 +176,11 @@
 
     /** The answer is whole when the engine ended the stream and every token that it counted has arrived. */
     private void finish() {
+        if (usage.isPresent() && finishReason.equals(Optional.of(CANCELLED))) {
+            Refusal refusal = Refusal.of(ResultCode.BACKEND_FAILED, "The engine cancelled the request. Retry.");
+            end(new AttemptEnd.Failed(refusal, usage.get().total()));
+            return;
+        }
         if (usage.isPresent() && usage.get().completionTokens() == next) {
             end(new AttemptEnd.Done(
                     new AnswerEnd.Model(finishReason.orElse("stop"), usage.get()),
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/StreamSink.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/StreamSink.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.Executor;
 import org.jspecify.annotations.Nullable;
 
@@ -35,7 +36,7 @@
 
     @Override
     public void chunk(Chunk chunk) {
-        executor.execute(() -> write(started(), event(chunk.offset(), chunk.content())));
+        executor.execute(() -> write(started(), event(chunk.offset(), Optional.of(chunk.content()))));
     }
 
     @Override
@@ -51,7 +52,7 @@
 
     private void finish(AnswerEnd.Model model, long offset) {
         ResponseStream s = started();
-        ObjectNode last = event(offset, "");
+        ObjectNode last = event(offset, Optional.empty());
         ((ObjectNode) last.path("choices").path(0)).put("finish_reason", model.finishReason());
         last.set("usage", ModelJson.usage(model.usage()));
         write(s, last);
@@ -88,15 +89,13 @@
         return s;
     }
 
-    private ObjectNode event(long offset, String content) {
+    private ObjectNode event(long offset, Optional<String> content) {
         ObjectNode node = JsonNodeFactory.instance.objectNode();
         node.put("id", id);
         ObjectNode choice = node.putArray("choices").addObject();
         choice.put("index", 0);
         ObjectNode delta = choice.putObject("delta");
-        if (!content.isEmpty()) {
-            delta.put("content", content);
-        }
+        content.ifPresent(text -> delta.put("content", text));
         choice.putNull("finish_reason");
         node.put("offset", offset);
         return node;
--- a/router/src/test/java/io/hornbeamfield/router/traffic/EngineFailureTest.java
+++ b/router/src/test/java/io/hornbeamfield/router/traffic/EngineFailureTest.java
@@ -141,6 +141,15 @@
         assertThat(reply.text() + next.text()).contains("0 1 2 3 4 5 ").doesNotContain("7 8");
     }
 
+    /** The text of a cancelled stream is only a part of the answer. */
+    @Test
+    void streamThatTheEngineCancelledIsNotTakenForAWholeAnswer() {
+        engine.finishReason = "cancelled";
+        HttpReply reply = router.send(router.chat(true));
+        assertThat(reply.text()).contains("\"code\":4003").doesNotContain("[DONE]");
+        assertThat(router.budgets.spent()).isEqualTo(USAGE);
+    }
+
     @Test
     void callerThatLeavesCancelsARequestThatNobodyCanAskForAgain() throws Exception {
         engine.silentAt = 2;
--- a/router/src/test/java/io/hornbeamfield/router/traffic/FakeEngine.java
+++ b/router/src/test/java/io/hornbeamfield/router/traffic/FakeEngine.java
@@ -23,6 +23,7 @@
     final Map<String, Integer> produced = new ConcurrentHashMap<>();
     volatile JsonNode lastBody = NullNode.instance;
     volatile String lastPriority = "";
+    volatile String finishReason = "stop";
     volatile int tokens = 6;
     volatile int breakAt = Integer.MAX_VALUE;
     volatile int silentAt = Integer.MAX_VALUE;
@@ -88,8 +89,9 @@
             produced.put(id, i + 1);
             s.write(event(id, i, i + " "));
         }
-        String end = "data: {\"id\":\"" + id + "\",\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\"stop\"}],"
-                + "\"offset\":" + tokens + ",\"usage\":" + Json.tree(usage(tokens)) + "}\n\ndata: [DONE]\n\n";
+        String end = "data: {\"id\":\"" + id + "\",\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\""
+                + finishReason + "\"}]," + "\"offset\":" + tokens + ",\"usage\":" + Json.tree(usage(tokens))
+                + "}\n\ndata: [DONE]\n\n";
         s.write(end.getBytes(UTF_8));
         s.end();
     }
--- a/router/src/test/java/io/hornbeamfield/router/traffic/ServiceCallTest.java
+++ b/router/src/test/java/io/hornbeamfield/router/traffic/ServiceCallTest.java
@@ -94,6 +94,24 @@
         assertThat(ran).isEmpty();
     }
 
+    @Test
+    void nonRepeatableCallMovesToAnotherServerWhenTheConnectionIsRefused() {
+        router.load.add("fees", "s0", "127.0.0.1:1");
+        for (int i = 0; i < 3; i++) {
+            assertThat(router.send(order(router.key("ordermany" + i))).status()).isEqualTo(201);
+        }
+        assertThat(ran).hasSize(3);
+        assertThat(router.budgets.spent()).isEqualTo(21);
+    }
+
+    @Test
+    void nonRepeatableCallThatWasNotSentIsRefusedAsNotRun() {
+        service.close();
+        HttpReply reply = router.send(order(router.key("orderone1")));
+        assertThat(Sse.ran(reply)).isEqualTo("no");
+        assertThat(router.budgets.spent()).isZero();
+    }
+
     @Test
     void brokenNonRepeatableCallIsNotSentAgainAndItsOutcomeIsUnknown() {
         breaksConnections = true;
