--- a/it/src/main/java/io/hornbeamfield/it/fleet/Fleet.java
+++ b/it/src/main/java/io/hornbeamfield/it/fleet/Fleet.java
@@ -174,6 +174,11 @@
                 HttpCall.get("http://" + router.adminAddress() + "/state").bearer(SECRETS.operatorToken()));
     }
 
+    /** Returns the configuration revision that a router has adopted, -1 if it does not answer. */
+    public long revision(RouterHandle router) {
+        return state(router).map(s -> s.path("configRevision").asLong(-1)).orElse(-1L);
+    }
+
     /** Starts a router again as a new incarnation. */
     public void restart(RouterHandle router) {
         router.restart(processes);
