--- a/ctl/src/main/java/io/hornbeamfield/ctl/internal/DocumentSchema.java
+++ b/ctl/src/main/java/io/hornbeamfield/ctl/internal/DocumentSchema.java
@@ -43,7 +43,8 @@
     private static String path(ValidationMessage m) {
         StringBuilder path = new StringBuilder();
         String pointer = m.getInstanceLocation().toString();
-        String[] steps = pointer.isEmpty() ? new String[0] : pointer.substring(1).split("/", -1);
+        String[] steps =
+                pointer.isEmpty() ? new String[0] : pointer.substring(1).split("/", -1);
         for (int i = 0; i < steps.length; i++) {
             String name = steps[i].replace("~1", "/").replace("~0", "~");
             if (i == steps.length - 1 && isElement(m)) {
