--- a/ctl/src/main/java/io/hornbeamfield/ctl/internal/Platform.java
+++ b/ctl/src/main/java/io/hornbeamfield/ctl/internal/Platform.java
@@ -64,8 +64,8 @@
             if (i == ATTEMPTS) {
                 throw new CtlFailure(
                         ResultCode.PLATFORM_UNAVAILABLE,
-                        "Cannot write " + key + ": " + n.reason() + " Nothing was changed by this write. Try again when"
-                                + " the platform answers.");
+                        "Cannot write " + key + ": " + sentence(n.reason())
+                                + " Nothing was changed by this write. Try again when" + " the platform answers.");
             }
             pause(i);
         }
@@ -82,13 +82,18 @@
                             : String.valueOf(e.getCause().getMessage());
                     throw new CtlFailure(
                             ResultCode.PLATFORM_UNAVAILABLE,
-                            "Cannot " + what + ": " + reason + " Check --platform and --token and try again.");
+                            "Cannot " + what + ": " + sentence(reason)
+                                    + " Check --platform and --token and try again.");
                 }
                 pause(i);
             }
         }
     }
 
+    private static String sentence(String reason) {
+        return reason.endsWith(".") ? reason : reason + ".";
+    }
+
     /** Waits longer after each attempt. */
     static void pause(int attempt) {
         try {
