--- a/net/src/main/java/io/hornbeamfield/net/http/internal/GrizzlyExchange.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/GrizzlyExchange.java
@@ -4,8 +4,10 @@
 import io.hornbeamfield.net.http.HttpServer;
 import io.hornbeamfield.net.http.ResponseStream;
 import java.io.IOException;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.glassfish.grizzly.CloseListener;
 import org.glassfish.grizzly.Closeable;
@@ -25,6 +27,7 @@
     private final String path;
     private final AtomicBoolean answered = new AtomicBoolean();
     private final AtomicBoolean complete = new AtomicBoolean();
+    private final List<CloseListener<Closeable, ICloseType>> closeListeners = new CopyOnWriteArrayList<>();
 
     GrizzlyExchange(Request request, Response response, byte[] body) {
         this.request = request;
@@ -95,14 +98,13 @@
     @Override
     public void onDisconnect(Runnable action) {
         Connection<?> connection = request.getConnection();
-        connection.addCloseListener(new CloseListener<Closeable, ICloseType>() {
-            @Override
-            public void onClosed(Closeable closeable, ICloseType type) {
-                if (!complete.get()) {
-                    action.run();
-                }
+        CloseListener<Closeable, ICloseType> listener = (closeable, type) -> {
+            if (!complete.get()) {
+                action.run();
             }
-        });
+        };
+        closeListeners.add(listener);
+        connection.addCloseListener(listener);
         watchForClose(connection);
     }
 
@@ -130,7 +132,13 @@
     }
 
     private void finish() {
-        if (complete.compareAndSet(false, true) && response.isSuspended()) {
+        if (!complete.compareAndSet(false, true)) {
+            return;
+        }
+        // A connection that is kept alive would otherwise keep the exchanges of all its requests.
+        Connection<?> connection = request.getConnection();
+        closeListeners.forEach(connection::removeCloseListener);
+        if (response.isSuspended()) {
             response.resume();
         }
     }
--- a/router/src/main/java/io/hornbeamfield/router/traffic/TrafficParts.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/TrafficParts.java
@@ -1,5 +1,6 @@
 package io.hornbeamfield.router.traffic;
 
+import io.hornbeamfield.core.identity.RegistryLimits;
 import io.hornbeamfield.core.routing.PrefixIndex;
 import io.hornbeamfield.net.http.HttpClient;
 import io.hornbeamfield.net.metrics.Metrics;
@@ -14,7 +15,7 @@
  *
  * <pre>{@code
  * new TrafficParts("east-1-0f3a9c21", "127.0.0.1:8080", secret, clock, client, metrics, board, budgets, billing, load,
- *         prefixes);
+ *         prefixes, limits);
  * }</pre>
  */
 public record TrafficParts(
@@ -28,4 +29,5 @@
         BudgetService budgets,
         BillingService billing,
         BackendLoad load,
-        PrefixIndex prefixes) {}
+        PrefixIndex prefixes,
+        RegistryLimits registryLimits) {}
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/Attempts.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/Attempts.java
@@ -28,13 +28,7 @@
         }
         Work.Service service = (Work.Service) request.work();
         return new ServiceAttempt(
-                context.client(),
-                server.address(),
-                request.key().text(),
-                service,
-                serviceTimeout(),
-                executor,
-                listener);
+                context.client(), server.address(), request, service, serviceTimeout(), executor, listener);
     }
 
     /**
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/CallerApi.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/CallerApi.java
@@ -20,13 +20,15 @@
     private final RequestTable table;
     private final Hello hello;
     private final Executor delivery;
+    private final OpenExchanges open;
 
-    CallerApi(TrafficContext context, RequestTable table, Hello hello, Executor delivery) {
+    CallerApi(TrafficContext context, RequestTable table, Hello hello, Executor delivery, OpenExchanges open) {
         this.context = context;
         this.reader = new RequestReader(context);
         this.table = table;
         this.hello = hello;
         this.delivery = delivery;
+        this.open = open;
     }
 
     HttpServer.Builder routes(HttpServer.Builder server) {
@@ -37,7 +39,8 @@
     }
 
     private HttpHandler checked(HttpHandler handler) {
-        return exchange -> {
+        return received -> {
+            HttpExchange exchange = open.track(received);
             try {
                 handler.handle(exchange);
             } catch (Checked e) {
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/RequestTable.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/RequestTable.java
@@ -47,12 +47,13 @@
     }
 
     private void runWithoutKey(HttpExchange exchange, CallerRequest request, AnswerSink sink) {
+        RequestRun run = createRun(request);
         Optional<Refusal> refusal = newWork.refusal();
         if (refusal.isPresent()) {
+            open.decrementAndGet();
             refuse(sink, refusal.get());
             return;
         }
-        RequestRun run = createRun(request);
         join(exchange, run, sink, request);
         run.start();
     }
@@ -99,11 +100,12 @@
                 ? registry.admit(request.key(), request.workspace(), request.fingerprint())
                 : registry.admitForUnreachableOwner(request.key(), request.workspace(), request.fingerprint());
         if (admission instanceof Admission.Run<Answer>) {
+            RequestRun run = createRun(request);
             Optional<Refusal> refusal = newWork.refusal();
             if (refusal.isPresent()) {
+                open.decrementAndGet();
                 return new Decision(new Admission.Refused<>(remember(request, refusal.get())), null, false);
             }
-            RequestRun run = createRun(request);
             running.put(scoped(request), run);
             return new Decision(admission, run, true);
         }
@@ -115,6 +117,10 @@
         return registry.refuse(request.key(), request.workspace(), request.fingerprint(), refusal);
     }
 
+    /**
+     * Counts the run before the check whether new work is refused, so that a graceful stop, which refuses first and
+     * counts then, sees it.
+     */
     private RequestRun createRun(CallerRequest request) {
         open.incrementAndGet();
         return new RequestRun(context, request, this::ended);
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/ServiceAttempt.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/ServiceAttempt.java
@@ -14,7 +14,7 @@
 final class ServiceAttempt implements Attempt {
     private final HttpClient client;
     private final String address;
-    private final String key;
+    private final CallerRequest request;
     private final Work.Service work;
     private final Duration timeout;
     private final Executor executor;
@@ -23,14 +23,14 @@
     ServiceAttempt(
             HttpClient client,
             String address,
-            String key,
+            CallerRequest request,
             Work.Service work,
             Duration timeout,
             Executor executor,
             Listener listener) {
         this.client = client;
         this.address = address;
-        this.key = key;
+        this.request = request;
         this.work = work;
         this.timeout = timeout;
         this.executor = executor;
@@ -40,7 +40,8 @@
     @Override
     public void start() {
         HttpCall.Builder call = HttpCall.of(work.method(), "http://" + address + work.target())
-                .header(CallerHeaders.KEY, key)
+                .header(CallerHeaders.KEY, request.key().text())
+                .header("X-Workspace", request.workspace())
                 .header("Content-Type", work.contentType())
                 .body(work.body())
                 .timeout(timeout);
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/TrafficServer.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/TrafficServer.java
@@ -4,7 +4,6 @@
 import io.hornbeamfield.core.admission.AdmissionQueue;
 import io.hornbeamfield.core.admission.RetryBudget;
 import io.hornbeamfield.core.config.Priority;
-import io.hornbeamfield.core.identity.RegistryLimits;
 import io.hornbeamfield.core.identity.RequestRegistry;
 import io.hornbeamfield.core.routing.BackendChoosers;
 import io.hornbeamfield.net.http.HttpServer;
@@ -13,9 +12,12 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.ThreadPoolExecutor.DiscardPolicy;
 import java.util.concurrent.TimeUnit;
 
 /** Wires the parts of traffic and owns its threads. */
@@ -29,19 +31,19 @@
     private static final int INITIAL_LIMIT = 64;
     private static final int TICK_MS = 100;
     private static final double MAX_RETRIES_IN_A_ROW = 10;
-    private static final RegistryLimits REGISTRY_LIMITS = RegistryLimits.of(200_000, 48L << 20);
 
     private final ExecutorService requests;
     private final ExecutorService delivery;
     private final ScheduledExecutorService timer;
     private final TrafficContext context;
     private final RequestTable table;
+    private final OpenExchanges exchanges = new OpenExchanges();
     private final HttpServer server;
 
     private TrafficServer(TrafficParts parts) {
-        requests = Executors.newFixedThreadPool(REQUEST_THREADS, daemon("traffic-request"));
-        delivery = Executors.newFixedThreadPool(DELIVERY_THREADS, daemon("traffic-delivery"));
-        timer = Executors.newSingleThreadScheduledExecutor(daemon("traffic-timer"));
+        requests = pool(REQUEST_THREADS, "traffic-request");
+        delivery = pool(DELIVERY_THREADS, "traffic-delivery");
+        timer = new ScheduledThreadPoolExecutor(1, daemon("traffic-timer"), new DiscardPolicy());
         AdmissionQueue queue = new AdmissionQueue(parts.clock());
         // In force only between the adoption of the first configuration and the next tick.
         queue.limits(INITIAL_LIMIT, INITIAL_LIMIT, Priority.LOW);
@@ -63,11 +65,11 @@
                 new Counters(parts.metrics()));
         Hello hello = new Hello(parts.incarnation(), parts.secret(), parts.client());
         RequestRegistry<Answer> registry =
-                new RequestRegistry<>(parts.incarnation(), parts.clock(), REGISTRY_LIMITS, Answer::bytes);
+                new RequestRegistry<>(parts.incarnation(), parts.clock(), parts.registryLimits(), Answer::bytes);
         table = new RequestTable(context, registry, new Relay(context, hello));
         tick();
         timer.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
-        server = new CallerApi(context, table, hello, delivery)
+        server = new CallerApi(context, table, hello, delivery, exchanges)
                 .routes(HttpServer.builder().address(parts.callerAddress()).name("callers"))
                 .start();
     }
@@ -77,6 +79,12 @@
         return new TrafficServer(parts);
     }
 
+    /** After a stop at once, the events of open connections are discarded. */
+    private static ExecutorService pool(int threads, String name) {
+        return new ThreadPoolExecutor(
+                threads, threads, 0, TimeUnit.SECONDS, new LinkedBlockingQueue<>(), daemon(name), new DiscardPolicy());
+    }
+
     private static ThreadFactory daemon(String name) {
         return new ThreadFactoryBuilder()
                 .setNameFormat(name + "-%d")
@@ -96,13 +104,15 @@
 
     @Override
     public int open() {
-        return table.open();
+        // A run may have no caller any more, and a caller may wait for another router.
+        return Math.max(table.open(), exchanges.count());
     }
 
     @Override
     public Map<String, Object> state() {
         Map<String, Object> state = new LinkedHashMap<>();
-        state.put("open", table.open());
+        state.put("running", table.open());
+        state.put("openExchanges", exchanges.count());
         state.put("admitted", context.queue().running());
         state.put("waiting", context.queue().waiting());
         state.put("rememberedKeys", table.remembered());
--- a/router/src/test/java/io/hornbeamfield/router/traffic/EngineFailureTest.java
+++ b/router/src/test/java/io/hornbeamfield/router/traffic/EngineFailureTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.hornbeamfield.net.http.HttpReply;
+import io.hornbeamfield.router.Waiting;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
--- a/router/src/test/java/io/hornbeamfield/router/traffic/RequestKeyTest.java
+++ b/router/src/test/java/io/hornbeamfield/router/traffic/RequestKeyTest.java
@@ -7,6 +7,7 @@
 import io.hornbeamfield.core.routing.RouterInfo;
 import io.hornbeamfield.net.http.HttpReply;
 import io.hornbeamfield.net.http.HttpServer;
+import io.hornbeamfield.router.Waiting;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.junit.jupiter.api.AfterEach;
