Read the adopted revision from the control part of the state dump

Cause: the admin port nests the controllers' state below control.

Change: the harness reads control.configRevision.

Ruled out: hornbeamctl status as the source; it reads the old place and shows no revision.

Conclusion: hornbeamctl status needs the same correction.

--- a/it/src/main/java/io/hornbeamfield/it/fleet/Fleet.java
+++ b/it/src/main/java/io/hornbeamfield/it/fleet/Fleet.java
@@ -176,7 +176,9 @@
 
     /** Returns the configuration revision that a router has adopted, -1 if it does not answer. */
     public long revision(RouterHandle router) {
-        return state(router).map(s -> s.path("configRevision").asLong(-1)).orElse(-1L);
+        return state(router)
+                .map(s -> s.path("control").path("configRevision").asLong(-1))
+                .orElse(-1L);
     }
 
     /** Starts a router again as a new incarnation. */
