Notice paused routers in the caller library

Cause: in a trial with a router stopped for 8 s under load, callers waited for the silence limit of 10 s (p95 8.2 s to the first token): a paused router still accepts connections. Change: while a try makes no progress, the client asks the router each second for its incarnation, one question for all waiting requests; after two misses the try moves to another router with the same key, and new requests avoid the router for 5 s, as after a refused connection. Ruled out: a shorter silence limit, which repeats requests that only queue.

--- a/client/src/main/java/io/hornbeamfield/client/internal/ChatSender.java
+++ b/client/src/main/java/io/hornbeamfield/client/internal/ChatSender.java
@@ -22,6 +22,7 @@
     private final AnswerText text;
     private final Executor executor;
     private final ScheduledExecutorService timer;
+    private final RouterHealth health;
 
     ChatSender(
             HttpClient client,
@@ -29,7 +30,8 @@
             ChatRequest request,
             AnswerListener listener,
             Executor executor,
-            ScheduledExecutorService timer) {
+            ScheduledExecutorService timer,
+            RouterHealth health) {
         this.client = client;
         this.settings = settings;
         this.request = request;
@@ -37,6 +39,7 @@
         this.text = new AnswerText(listener);
         this.executor = executor;
         this.timer = timer;
+        this.health = health;
     }
 
     /** The body must be the same in every try, because the fleet compares it. */
@@ -61,5 +64,6 @@
         ChatStream stream = new ChatStream(key, text, executor, onEnd);
         stream.opened(client.open(call.build(), stream));
         stream.breakOnSilence(timer, settings.silence(), left);
+        stream.breakIfDead(new SilenceWatch(health, router, executor, timer));
     }
 }
--- a/client/src/main/java/io/hornbeamfield/client/internal/ChatStream.java
+++ b/client/src/main/java/io/hornbeamfield/client/internal/ChatStream.java
@@ -33,6 +33,7 @@
     private long promptTokens;
     private long completionTokens = -1;
     private long lastProgressNanos = System.nanoTime();
+    private long lastSeenProgress = lastProgressNanos;
     private boolean ended;
 
     ChatStream(String key, AnswerText text, Executor executor, Consumer<TryEnd> onEnd) {
@@ -63,6 +64,18 @@
                 TimeUnit.MILLISECONDS);
     }
 
+    /** Ends the try when the router does not answer any more. */
+    void breakIfDead(SilenceWatch watch) {
+        watch.start(
+                () -> ended,
+                () -> {
+                    boolean progressed = lastProgressNanos != lastSeenProgress;
+                    lastSeenProgress = lastProgressNanos;
+                    return progressed;
+                },
+                () -> end(new TryEnd.RouterDead("The router does not answer any more.")));
+    }
+
     @Override
     public void onHead(int code, Map<String, String> fields) {
         run(() -> {
--- a/client/src/main/java/io/hornbeamfield/client/internal/FleetClient.java
+++ b/client/src/main/java/io/hornbeamfield/client/internal/FleetClient.java
@@ -24,6 +24,7 @@
     private final ExecutorService pool;
     private final ScheduledExecutorService timer;
     private final AddressBook addresses;
+    private final RouterHealth health;
 
     private FleetClient(Settings settings) {
         this.settings = settings;
@@ -33,6 +34,7 @@
         this.timer = Executors.newSingleThreadScheduledExecutor(
                 threads.setNameFormat("hornbeamfield-client-timer").build());
         this.addresses = new AddressBook(settings, http);
+        this.health = new RouterHealth(http, settings.clock());
     }
 
     /** Starts a client. */
@@ -43,24 +45,28 @@
     @Override
     public CompletableFuture<Outcome> chat(ChatRequest request, AnswerListener listener) {
         Executor executor = MoreExecutors.newSequentialExecutor(pool);
-        Sender sender = new ChatSender(http, settings, request, listener, executor, timer);
+        Sender sender = new ChatSender(http, settings, request, listener, executor, timer, health);
         return flow(sender, request.options(), executor);
     }
 
     @Override
     public CompletableFuture<Outcome> call(ServiceCall call) {
         Executor executor = MoreExecutors.newSequentialExecutor(pool);
-        return flow(new ServiceSender(http, settings.workspaceKey(), call, executor), call.options(), executor);
+        return flow(
+                new ServiceSender(http, settings.workspaceKey(), call, executor, timer, health),
+                call.options(),
+                executor);
     }
 
     private CompletableFuture<Outcome> flow(Sender sender, CallOptions options, Executor executor) {
-        return new RequestFlow(settings, addresses, sender, options.deadline(), executor, timer).start();
+        return new RequestFlow(settings, addresses, health, sender, options.deadline(), executor, timer).start();
     }
 
     @Override
     public void close() {
+        // Connections first, so that no event arrives for an executor that has stopped.
+        http.close();
         timer.shutdownNow();
         pool.shutdownNow();
-        http.close();
     }
 }
--- a/client/src/main/java/io/hornbeamfield/client/internal/RequestFlow.java
+++ b/client/src/main/java/io/hornbeamfield/client/internal/RequestFlow.java
@@ -27,6 +27,7 @@
 
     private final Settings settings;
     private final AddressBook addresses;
+    private final RouterHealth health;
     private final Sender sender;
     private final Executor executor;
     private final ScheduledExecutorService timer;
@@ -37,16 +38,19 @@
     private boolean mayHaveRun;
     private int tries;
     private int turn;
+    private List<Router> lastRouters = List.of();
 
     RequestFlow(
             Settings settings,
             AddressBook addresses,
+            RouterHealth health,
             Sender sender,
             Duration limit,
             Executor executor,
             ScheduledExecutorService timer) {
         this.settings = settings;
         this.addresses = addresses;
+        this.health = health;
         this.sender = sender;
         this.executor = executor;
         this.timer = timer;
@@ -68,7 +72,8 @@
     }
 
     private void send(Addresses answer) {
-        List<Router> routers = answer.routers();
+        lastRouters = answer.routers();
+        List<Router> routers = health.preferred(lastRouters);
         if (routers.isEmpty()) {
             lastRefusal = answer.refusal().or(() -> lastRefusal);
             tryAgainIn(backoff());
@@ -77,7 +82,7 @@
         Router router = routers.get(turn % routers.size());
         RequestKey used = key.orElseGet(() -> newKey(router, answer.clockAheadSeconds()));
         key = Optional.of(used);
-        sender.send(router, used.text(), deadline.remaining(settings.clock()), this::ended);
+        sender.send(router, used.text(), deadline.remaining(settings.clock()), end -> ended(router, end));
     }
 
     private RequestKey newKey(Router owner, long clockAheadSeconds) {
@@ -86,25 +91,37 @@
                 owner.incarnation(), now, UUID.randomUUID().toString().replace("-", ""));
     }
 
-    private void ended(TryEnd end) {
+    private void ended(Router router, TryEnd end) {
         if (end instanceof TryEnd.Whole whole) {
             outcome.complete(whole.answer());
         } else if (end instanceof TryEnd.NotSent) {
+            avoid(router);
             notSent();
         } else if (end instanceof TryEnd.Broken) {
             mayHaveRun = true;
             turn++;
             tryAgainIn(backoff());
+        } else if (end instanceof TryEnd.RouterDead) {
+            mayHaveRun = true;
+            avoid(router);
+            tryAgainIn(Duration.ZERO);
         } else if (end instanceof TryEnd.Refused refused) {
             refused(refused.refusal());
         }
     }
 
+    /** The others keep their order, in which those of the own availability zone come first. */
+    private void avoid(Router router) {
+        health.avoid(router);
+        if (health.preferred(lastRouters).contains(router)) {
+            turn++;
+        }
+    }
+
     private void notSent() {
         if (!mayHaveRun) {
             key = Optional.empty();
         }
-        turn++;
         addresses.invalidate();
         tryAgainIn(tries < 3 ? Duration.ZERO : backoff());
     }
--- a/client/src/main/java/io/hornbeamfield/client/internal/ServiceSender.java
+++ b/client/src/main/java/io/hornbeamfield/client/internal/ServiceSender.java
@@ -8,6 +8,7 @@
 import io.hornbeamfield.net.http.HttpReply;
 import java.time.Duration;
 import java.util.concurrent.Executor;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 
@@ -17,12 +18,22 @@
     private final String workspaceKey;
     private final ServiceCall call;
     private final Executor executor;
+    private final ScheduledExecutorService timer;
+    private final RouterHealth health;
 
-    ServiceSender(HttpClient client, String workspaceKey, ServiceCall call, Executor executor) {
+    ServiceSender(
+            HttpClient client,
+            String workspaceKey,
+            ServiceCall call,
+            Executor executor,
+            ScheduledExecutorService timer,
+            RouterHealth health) {
         this.client = client;
         this.workspaceKey = workspaceKey;
         this.call = call;
         this.executor = executor;
+        this.timer = timer;
+        this.health = health;
     }
 
     @Override
@@ -31,9 +42,32 @@
                         call.method(), "http://" + router.address() + "/v1/services/" + call.pool() + call.path())
                 .header("Content-Type", call.contentType())
                 .body(call.body());
-        client.send(RequestHeaders.set(http, workspaceKey, key, call.options(), left)
-                        .build())
-                .whenCompleteAsync((reply, failure) -> onEnd.accept(end(reply, failure)), executor);
+        OneEnd oneEnd = new OneEnd(onEnd);
+        HttpCall whole = RequestHeaders.set(http, workspaceKey, key, call.options(), left)
+                .build();
+        client.send(whole).whenCompleteAsync((reply, failure) -> oneEnd.accept(end(reply, failure)), executor);
+        new SilenceWatch(health, router, executor, timer)
+                .start(
+                        () -> oneEnd.over,
+                        () -> false,
+                        () -> oneEnd.accept(new TryEnd.RouterDead("The router does not answer any more.")));
+    }
+
+    /** Passes only the first end on. */
+    private static final class OneEnd {
+        private final Consumer<TryEnd> onEnd;
+        private boolean over;
+
+        OneEnd(Consumer<TryEnd> onEnd) {
+            this.onEnd = onEnd;
+        }
+
+        void accept(TryEnd end) {
+            if (!over) {
+                over = true;
+                onEnd.accept(end);
+            }
+        }
     }
 
     private static TryEnd end(@Nullable HttpReply reply, @Nullable Throwable failure) {
--- a/client/src/main/java/io/hornbeamfield/client/internal/TryEnd.java
+++ b/client/src/main/java/io/hornbeamfield/client/internal/TryEnd.java
@@ -14,6 +14,9 @@
     /** No connection was made, so nothing was sent. */
     record NotSent(String reason) implements TryEnd {}
 
+    /** The request was sent, but the router does not answer any more. */
+    record RouterDead(String reason) implements TryEnd {}
+
     /** The request was sent, but the answer did not arrive whole. */
     record Broken(String reason) implements TryEnd {}
 }
--- a/client/src/test/java/io/hornbeamfield/client/FakeRouter.java
+++ b/client/src/test/java/io/hornbeamfield/client/FakeRouter.java
@@ -24,8 +24,10 @@
     final Queue<Consumer<HttpExchange>> script = new ConcurrentLinkedQueue<>();
     volatile List<FakeRouter> named = List.of(this);
     volatile int lookups;
+    volatile boolean paused;
     private final HttpServer server = HttpServer.builder()
             .route("GET", "/v1/addresses", this::addresses)
+            .route("GET", "/v1/hello", this::hello)
             .route("*", "/v1/*", this::request)
             .start();
 
@@ -53,6 +55,12 @@
                                 .toList())));
     }
 
+    private void hello(HttpExchange x) {
+        if (!paused) {
+            x.replyJson(200, Json.bytes(Map.of("incarnation", incarnation)));
+        }
+    }
+
     private void request(HttpExchange x) {
         keys.add(x.header("Idempotency-Key").orElseThrow());
         froms.add(x.header("Hornbeamfield-From").orElse("") + "/"
--- a/client/src/test/java/io/hornbeamfield/client/RetryTest.java
+++ b/client/src/test/java/io/hornbeamfield/client/RetryTest.java
@@ -123,6 +123,27 @@
         assertThat(first.keys).hasSize(2).containsOnly(second.keys.get(0));
     }
 
+    /** A paused router accepts connections; its callers must not wait for their whole time limit. */
+    @Test
+    void pausedRouterIsNoticedBecauseItDoesNotAnswerAndIsAvoidedAfterwards() {
+        first.script.add(x -> first.paused = true);
+        long begin = System.nanoTime();
+        assertThat(order()).isInstanceOf(Outcome.Answered.class);
+        assertThat(System.nanoTime() - begin).isLessThan(8_000_000_000L);
+        assertThat(second.keys).isEqualTo(first.keys);
+        assertThat(order()).isInstanceOf(Outcome.Answered.class);
+        assertThat(first.keys).hasSize(1);
+    }
+
+    @Test
+    void slowRouterThatIsAliveIsWaitedFor() {
+        first.script.add(x -> java.util.concurrent.CompletableFuture.delayedExecutor(
+                        3, java.util.concurrent.TimeUnit.SECONDS)
+                .execute(() -> x.replyJson(200, "{}".getBytes(java.nio.charset.StandardCharsets.UTF_8))));
+        assertThat(order()).isInstanceOf(Outcome.Answered.class);
+        assertThat(second.keys).isEmpty();
+    }
+
     @Test
     void fleetThatCannotBeReachedIsReportedAsNotRun() {
         first.close();
