Remove shard revisions that no router reads any more

Change: after a change, revisions below the replaced one are removed; new revisions are above the one in force, and an emptied shard stays as an empty object. Before: a number that had been skipped and removed could have been written again with another content, which breaks create-only. Conclusion: two revisions of a changed shard remain.

--- a/ctl/src/main/java/io/hornbeamfield/ctl/internal/ConfigStore.java
+++ b/ctl/src/main/java/io/hornbeamfield/ctl/internal/ConfigStore.java
@@ -22,6 +22,7 @@
  */
 public final class ConfigStore {
     static final String HEAD_KEY = "config/head";
+    private static final String SHARD_PREFIX = "config/workspaces/";
     private static final int ATTEMPTS = 6;
 
     /** Shard revisions that an unfinished change of another operator may have left behind. */
@@ -98,10 +99,11 @@
             return base.revision();
         }
         long revision = base.revision() + 1;
-        Map<String, Long> shardRevisions = writeShards(base, draft.shards(), revision);
+        Map<String, Long> shardRevisions = writeShards(base, draft.shards());
         String changeId = UUID.randomUUID().toString();
         ConfigHead head = head(draft, revision, shardRevisions, Optional.of(changeId));
         replaceHead(base, head, changeId);
+        removeOldShards(base, shardRevisions);
         return revision;
     }
 
@@ -117,13 +119,20 @@
                 changeId);
     }
 
-    private Map<String, Long> writeShards(StoredConfig base, Map<String, WorkspaceShard> wanted, long revision) {
+    /**
+     * A new revision is above all that a head has named for the shard, and a shard that has lost its last workspace
+     * stays as an empty one. So no key is ever written again with another content after its object was removed.
+     */
+    private Map<String, Long> writeShards(StoredConfig base, Map<String, WorkspaceShard> wanted) {
+        Map<String, WorkspaceShard> all = new TreeMap<>(wanted);
+        base.shards().keySet().forEach(s -> all.putIfAbsent(s, new WorkspaceShard(Map.of())));
+        Map<String, Long> named = base.head().map(ConfigHead::workspaceShards).orElse(Map.of());
         Map<String, Long> revisions = new HashMap<>();
-        wanted.forEach((shard, content) -> {
-            Optional<Long> current = base.head()
-                    .filter(h -> content.equals(base.shards().get(shard)))
-                    .map(h -> h.workspaceShards().get(shard));
-            revisions.put(shard, current.orElseGet(() -> writeShard(shard, content, revision)));
+        all.forEach((shard, content) -> {
+            long current = named.getOrDefault(shard, 0L);
+            boolean unchanged = current > 0 && content.equals(base.shards().get(shard));
+            long next = Math.max(base.revision(), current) + 1;
+            revisions.put(shard, unchanged ? current : writeShard(shard, content, next));
         });
         return revisions;
     }
@@ -184,6 +193,23 @@
                         + ". Run get: if it shows this change id, the change is in force.");
     }
 
+    /**
+     * Removes the revisions of changed shards that are older than the one just replaced, which routers may still be
+     * reading. A change in progress that wrote one of them loses its race in any case. What cannot be removed now is
+     * removed by the next change of the shard.
+     */
+    private void removeOldShards(StoredConfig base, Map<String, Long> inForce) {
+        Map<String, Long> replaced =
+                base.head().map(ConfigHead::workspaceShards).orElse(Map.of());
+        replaced.forEach((shard, revision) -> {
+            if (!revision.equals(inForce.get(shard))) {
+                platform.removeIf(
+                        SHARD_PREFIX + shard + "/",
+                        key -> Long.parseLong(key.substring(key.lastIndexOf('/') + 1)) < revision);
+            }
+        });
+    }
+
     private static CtlFailure lostRace(StoredConfig base, long current, boolean answerLost) {
         if (answerLost && current > base.revision() + 1) {
             return new CtlFailure(
@@ -199,6 +225,6 @@
     }
 
     private static String shardKey(String shard, long revision) {
-        return "config/workspaces/" + shard + "/" + revision;
+        return SHARD_PREFIX + shard + "/" + revision;
     }
 }
--- a/ctl/src/main/java/io/hornbeamfield/ctl/internal/Platform.java
+++ b/ctl/src/main/java/io/hornbeamfield/ctl/internal/Platform.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 /** Blocking access to the platform with a few attempts per call. */
@@ -71,6 +72,20 @@
         }
     }
 
+    /** Removes the objects under a prefix whose keys fulfil the condition, as far as the platform answers. */
+    public void removeIf(String prefix, Predicate<String> condition) {
+        try {
+            for (VersionedValue v : client.list(prefix, "", PAGE).join().objects()) {
+                if (condition.test(v.key())) {
+                    client.delete(v.key(), v.version()).join();
+                }
+            }
+        } catch (CompletionException e) {
+            // The command has done its work; a later one removes the objects.
+            return;
+        }
+    }
+
     private static <T> T attempt(Supplier<CompletableFuture<T>> call, String what) {
         for (int i = 1; ; i++) {
             try {
--- a/ctl/src/test/java/io/hornbeamfield/ctl/ConfigRaceTest.java
+++ b/ctl/src/test/java/io/hornbeamfield/ctl/ConfigRaceTest.java
@@ -70,6 +70,38 @@
         assertThat(ctl.store.load().head().orElseThrow().workspaceShards()).containsEntry(shard, 3L);
     }
 
+    @Test
+    void onlyTheShardRevisionInForceAndTheOneBeforeItAreKept() {
+        String shard = WorkspaceShard.shardOf("barn");
+        ctl.run("workspaces", "add", "barn");
+        for (int i = 0; i < 3; i++) {
+            ctl.run("workspaces", "add-key", "barn");
+        }
+        assertThat(ctl.client
+                        .list("config/workspaces/" + shard + "/", "", 100)
+                        .join()
+                        .objects())
+                .extracting(o -> o.key().substring(o.key().lastIndexOf('/') + 1))
+                .containsExactly("4", "5");
+        assertThat(ctl.get().at("/workspaces/barn/keyHashes")).hasSize(4);
+    }
+
+    @Test
+    void noShardKeyIsWrittenAgainWithAnotherContentAfterItWasRemoved() {
+        String shard = WorkspaceShard.shardOf("barn");
+        for (int i = 2; i <= 9; i++) {
+            ctl.client
+                    .write("config/workspaces/" + shard + "/" + i, 0, Json.tree(new WorkspaceShard(Map.of())))
+                    .join();
+        }
+        ctl.run("workspaces", "add", "barn");
+        ctl.run("workspaces", "add-key", "barn");
+        ctl.withDocument("apply", "{\"workspaces\":{\"barn\":null}}");
+        ctl.run("workspaces", "add", "barn");
+        assertThat(ctl.get().path("revision").asLong()).isEqualTo(5);
+        assertThat(ctl.store.load().head().orElseThrow().workspaceShards()).containsEntry(shard, 13L);
+    }
+
     @Test
     void anOutageWritesNothingAndTheCommandSaysSo() {
         ctl.platform.inject(PlatformFaults.NONE.withOutage(true));
