Show adopted revisions of real routers and refuse to release live holders

Cause: the admin port nests the controllers' state below control, so status showed no revisions; a trial with a running fleet released the entry of a holder whose process still ran, because the instance list did not name it. Change: status reads control.configRevision and shows stale routers; release asks the holder's admin port and refuses while it answers, also with force. Ruled out: the age of the router status as evidence (it lags like the list).

--- a/ctl/src/main/java/io/hornbeamfield/ctl/Hornbeamctl.java
+++ b/ctl/src/main/java/io/hornbeamfield/ctl/Hornbeamctl.java
@@ -90,9 +90,9 @@
         ConfigStore store = new ConfigStore(platform);
         Budgets records = new Budgets(platform);
         ConfigCommands config = new ConfigCommands(store, records);
-        BudgetCommands budgets = new BudgetCommands(records, platform);
         WorkspaceCommands workspaces = new WorkspaceCommands(store);
         InstanceCommands instances = new InstanceCommands(platform, store, http, settings.operatorToken());
+        BudgetCommands budgets = new BudgetCommands(records, platform, instances);
         String command = a.getString("command");
         return switch (command) {
             case "apply" -> config.apply(Path.of(a.getString("file")));
--- a/ctl/src/main/java/io/hornbeamfield/ctl/internal/BudgetCommands.java
+++ b/ctl/src/main/java/io/hornbeamfield/ctl/internal/BudgetCommands.java
@@ -15,10 +15,12 @@
 public final class BudgetCommands {
     private final Budgets budgets;
     private final Platform platform;
+    private final InstanceCommands instances;
 
-    public BudgetCommands(Budgets budgets, Platform platform) {
+    public BudgetCommands(Budgets budgets, Platform platform, InstanceCommands instances) {
         this.budgets = budgets;
         this.platform = platform;
+        this.instances = instances;
     }
 
     /** Lists all budgets. */
@@ -168,6 +170,12 @@
                     "--holder is \"" + holder + "\". Use the incarnation as budgets show prints it, for example"
                             + " router-3-1f0c22ab.");
         }
+        if (instances.answers(instance, holder)) {
+            throw new CtlFailure(
+                    ResultCode.CONFLICT,
+                    "The process of " + holder + " answers at its admin address. Nothing was changed. Stop the process:"
+                            + " it returns its tokens itself.");
+        }
         List<InstanceInfo> listed = platform.instances();
         boolean live = listed.stream().anyMatch(i -> i.id().equals(instance) && i.state() == ServerState.LIVE);
         if (live && !force) {
--- a/ctl/src/main/java/io/hornbeamfield/ctl/internal/InstanceCommands.java
+++ b/ctl/src/main/java/io/hornbeamfield/ctl/internal/InstanceCommands.java
@@ -57,6 +57,18 @@
         }
     }
 
+    /** Returns whether the process of an incarnation answers now; false without an operator token. */
+    public boolean answers(String instance, String incarnation) {
+        if (operatorToken.isEmpty()) {
+            return false;
+        }
+        return platform.read(PREFIX + instance)
+                .map(status -> control(state(new Router(instance, status.value()))))
+                .flatMap(control -> control)
+                .filter(control -> control.path("incarnation").asText().equals(incarnation))
+                .isPresent();
+    }
+
     /** Shows every router with the revision that it has adopted. */
     public Output status() {
         StoredConfig stored = store.load();
@@ -71,8 +83,9 @@
         rows.add(List.of("ROUTER", "ZONE", "STATE", "REVISION", "NOTE"));
         List<Map<String, Object>> json = new ArrayList<>();
         states.forEach((router, state) -> {
-            long adopted = adoptedRevision(state);
-            String note = note(state, adopted, stored.revision());
+            Optional<JsonNode> control = control(state);
+            long adopted = control.map(c -> c.path("configRevision").asLong(-1)).orElse(-1L);
+            String note = note(control, adopted, stored.revision());
             String shown = adopted < 0 ? "-" : Long.toString(adopted);
             rows.add(List.of(router.id(), router.text("zone"), router.text("state"), shown, note));
             json.add(Map.of(
@@ -86,18 +99,24 @@
         return Output.of(Map.of("revision", stored.revision(), "activePreset", preset, "routers", json), rows);
     }
 
-    private static String note(CompletableFuture<JsonNode> state, long adopted, long current) {
-        if (adopted < 0) {
-            return state.isCompletedExceptionally() ? "no answer" : "no configuration";
+    private static String note(Optional<JsonNode> control, long adopted, long current) {
+        if (control.isEmpty()) {
+            return "no answer";
+        }
+        if (adopted <= 0) {
+            return "no configuration";
         }
-        return adopted < current ? "lags by " + (current - adopted) : "";
+        String lag = adopted < current ? "lags by " + (current - adopted) : "";
+        String stale = control.get().path("configStale").asBoolean() ? "stale" : "";
+        return lag.isEmpty() || stale.isEmpty() ? lag + stale : lag + ", " + stale;
     }
 
-    private static long adoptedRevision(CompletableFuture<JsonNode> state) {
+    /** Returns the part of a state dump that the controllers write, empty if the router does not answer. */
+    private static Optional<JsonNode> control(CompletableFuture<JsonNode> state) {
         try {
-            return state.join().path("configRevision").asLong(-1);
+            return Optional.of(state.join().path("control"));
         } catch (CompletionException e) {
-            return -1;
+            return Optional.empty();
         }
     }
 
