End requests that a fault of the router interrupts

Cause: an exception in one step left the caller waiting and the request open, so that a graceful stop would not end. The delivery pool has 128 threads that time out, so slow callers block few others. AdminApi is tested with and without the token. Ruled out: catching at each call site.

--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/ModelAttempt.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/ModelAttempt.java
@@ -218,7 +218,8 @@
     }
 
     private void fail(String reason) {
-        Refusal refusal = Refusal.of(ResultCode.BACKEND_FAILED, reason + " Retry with the same key.");
+        Refusal refusal = Refusal.of(
+                ResultCode.BACKEND_FAILED, reason + " Send it as a new request if a second run does no harm.");
         stopAndLearnUsage(spent -> new AttemptEnd.Failed(refusal, spent));
     }
 
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/RequestRun.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/RequestRun.java
@@ -17,6 +17,7 @@
 import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.function.BiConsumer;
+import org.jboss.logging.Logger;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -25,6 +26,7 @@
  */
 final class RequestRun implements Attempt.Listener {
     private static final int MAX_ATTEMPTS = 4;
+    private static final Logger LOG = Logger.getLogger(RequestRun.class);
 
     private final TrafficContext context;
     private final CallerRequest request;
@@ -43,16 +45,53 @@
     private int attemptCount;
     private boolean mayHaveRun;
     private boolean abandoned;
+    private boolean ended;
+    private boolean published;
 
     RequestRun(TrafficContext context, CallerRequest request, BiConsumer<RequestRun, AnswerEnd> onEnd) {
         this.context = context;
         this.request = request;
         this.onEnd = onEnd;
-        this.executor = MoreExecutors.newSequentialExecutor(context.pool());
+        Executor steps = MoreExecutors.newSequentialExecutor(context.pool());
+        this.executor = step -> steps.execute(() -> guarded(step));
         this.charges = new Charges(context, request);
         this.attempts = new Attempts(context, request, executor, this);
     }
 
+    /** A fault in one request must not leave its callers waiting, nor keep a graceful stop from ending. */
+    private void guarded(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException e) {
+            context.counters().count("faults");
+            LOG.errorf(
+                    e,
+                    "Request %s failed by a fault of the router.",
+                    request.key().text());
+            mayHaveRun = true;
+            AnswerEnd end = new AnswerEnd.Refused(Refusal.of(ResultCode.OUTCOME_UNKNOWN, "The router failed: " + e));
+            try {
+                stopAfterFault(end);
+            } finally {
+                publish(end);
+            }
+        }
+    }
+
+    private void stopAfterFault(AnswerEnd end) {
+        Attempt current = attempt;
+        Reservation held = reservation;
+        attempt = null;
+        reservation = null;
+        if (current != null) {
+            current.cancel();
+        }
+        if (held != null) {
+            charges.settle(held, held.tokens());
+        }
+        finish(end, "failed");
+    }
+
     Answer answer() {
         return answer;
     }
@@ -165,7 +204,8 @@
         BackendView used = server;
         Reservation held = reservation;
         if (used == null || held == null) {
-            throw new IllegalStateException("An attempt ended that was not started.");
+            // A fault has ended the request and charged the whole reservation.
+            return;
         }
         attempt = null;
         context.load().finished(used.id());
@@ -241,13 +281,24 @@
 
     /** The end of the answer waits for its bill, so that a router that dies later has lost no bill. */
     private void finish(AnswerEnd end, String status) {
+        if (ended) {
+            return;
+        }
+        ended = true;
         AdmissionSlot held = slot;
         if (held != null && status.equals("complete")) {
             held.finished();
         } else if (held != null) {
             held.close();
         }
-        charges.bill(status).whenCompleteAsync((done, failure) -> onEnd.accept(this, end), executor);
+        charges.bill(status).whenCompleteAsync((done, failure) -> publish(end), executor);
+    }
+
+    private void publish(AnswerEnd end) {
+        if (!published) {
+            published = true;
+            onEnd.accept(this, end);
+        }
     }
 
     private static <T> Result<T> orBug(@Nullable Result<T> result, @Nullable Throwable failure) {
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/TrafficServer.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/TrafficServer.java
@@ -26,7 +26,7 @@
     private static final int REQUEST_THREADS = 4;
 
     /** Writes to slow callers block a thread each. */
-    private static final int DELIVERY_THREADS = 32;
+    private static final int DELIVERY_THREADS = 128;
 
     private static final int INITIAL_LIMIT = 64;
     private static final int TICK_MS = 100;
@@ -81,8 +81,10 @@
 
     /** After a stop at once, the events of open connections are discarded. */
     private static ExecutorService pool(int threads, String name) {
-        return new ThreadPoolExecutor(
-                threads, threads, 0, TimeUnit.SECONDS, new LinkedBlockingQueue<>(), daemon(name), new DiscardPolicy());
+        ThreadPoolExecutor pool = new ThreadPoolExecutor(
+                threads, threads, 10, TimeUnit.SECONDS, new LinkedBlockingQueue<>(), daemon(name), new DiscardPolicy());
+        pool.allowCoreThreadTimeOut(true);
+        return pool;
     }
 
     private static ThreadFactory daemon(String name) {
--- a/router/src/test/java/io/hornbeamfield/router/Fleet.java
+++ b/router/src/test/java/io/hornbeamfield/router/Fleet.java
@@ -46,6 +46,7 @@
     final HttpPlatformClient objects = new HttpPlatformClient(http, "127.0.0.1:" + platform.port(), PLATFORM_TOKEN);
     final List<RouterProcess> routers = new ArrayList<>();
     final List<String> addresses = new ArrayList<>();
+    final List<String> adminAddresses = new ArrayList<>();
     private final List<String> peers = new ArrayList<>();
 
     Fleet(int routerCount, long granted, double tokenMs) {
@@ -54,6 +55,7 @@
         for (int i = 0; i < routerCount; i++) {
             addresses.add(freeAddress());
             peers.add(freeAddress());
+            adminAddresses.add(freeAddress());
         }
         for (int i = 0; i < routerCount; i++) {
             routers.add(RouterProcess.start(settings(i)));
@@ -73,7 +75,7 @@
                 "router-" + i,
                 "zone-" + i,
                 addresses.get(i),
-                freeAddress(),
+                adminAddresses.get(i),
                 peers.get(i),
                 others,
                 "127.0.0.1:" + platform.port(),
--- a/router/src/test/java/io/hornbeamfield/router/WholeFleetTest.java
+++ b/router/src/test/java/io/hornbeamfield/router/WholeFleetTest.java
@@ -7,6 +7,7 @@
 import io.hornbeamfield.client.HornbeamfieldClient;
 import io.hornbeamfield.client.Outcome;
 import io.hornbeamfield.client.ServiceCall;
+import io.hornbeamfield.net.http.HttpCall;
 import io.hornbeamfield.standins.engine.ChatMessage;
 import io.hornbeamfield.standins.engine.EngineFaults;
 import io.hornbeamfield.standins.engine.ReplyText;
@@ -139,6 +140,19 @@
         assertThat(fleet.bills()).hasSize(20).extracting(b -> b.requestId()).doesNotHaveDuplicates();
     }
 
+    @Test
+    void operatorSeesStateMetricsAndHealthOnlyWithTheToken() {
+        for (String path : List.of("/state", "/metrics", "/health")) {
+            HttpCall.Builder call = HttpCall.get("http://" + fleet.adminAddresses.get(0) + path);
+            assertThat(fleet.http.send(call.build()).join().status()).isEqualTo(401);
+            assertThat(fleet.http
+                            .send(call.bearer("operator-token").build())
+                            .join()
+                            .text())
+                    .startsWith("{");
+        }
+    }
+
     @Test
     void requestAboveTheBudgetIsRefusedAsNotRunAndTheBudgetStaysUsable() {
         Outcome outcome = client.chat(
--- a/router/src/test/java/io/hornbeamfield/router/traffic/StreamedAnswerTest.java
+++ b/router/src/test/java/io/hornbeamfield/router/traffic/StreamedAnswerTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.hornbeamfield.net.http.HttpReply;
+import io.hornbeamfield.router.Waiting;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -59,6 +60,17 @@
         assertThat(System.nanoTime() - begin).isLessThan(TimeUnit.SECONDS.toNanos(3));
     }
 
+    /** A fault in one step must not leave the caller waiting or the request open for ever. */
+    @Test
+    void faultOfTheRouterEndsTheRequestWithAnUnknownOutcome() {
+        router.billing.throwsOnce.set(true);
+        HttpReply reply = router.send(router.chat(false));
+        assertThat(Sse.code(reply)).isEqualTo(4001);
+        Waiting.until(() -> router.traffic.open() == 0);
+        assertThat(router.budgets.openReservations()).isZero();
+        assertThat(router.send(router.chat(false)).status()).isEqualTo(200);
+    }
+
     /** In a platform outage bills are not confirmed; answers must still end. */
     @Test
     void endOfTheAnswerWaitsNoLongerThanThePresetAllows() {
