--- a/router/src/test/java/io/hornbeamfield/router/traffic/EngineFailureTest.java
+++ b/router/src/test/java/io/hornbeamfield/router/traffic/EngineFailureTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.hornbeamfield.net.http.HttpReply;
+import io.hornbeamfield.router.Waiting;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -141,6 +142,15 @@
         assertThat(reply.text() + next.text()).contains("0 1 2 3 4 5 ").doesNotContain("7 8");
     }
 
+    /** The text of a cancelled stream is only a part of the answer. */
+    @Test
+    void streamThatTheEngineCancelledIsNotTakenForAWholeAnswer() {
+        engine.finishReason = "cancelled";
+        HttpReply reply = router.send(router.chat(true));
+        assertThat(reply.text()).contains("\"code\":4003").doesNotContain("[DONE]");
+        assertThat(router.budgets.spent()).isEqualTo(USAGE);
+    }
+
     @Test
     void callerThatLeavesCancelsARequestThatNobodyCanAskForAgain() throws Exception {
         engine.silentAt = 2;
