Search releases of dead routers

Cause: an operator's release folds an entry that may lack the last transfers of the dead router. Change: schedules contain releases; a faulty variant counts only spent tokens. The count must include the tokens sent to peers after the last write of the entry, as withRelease states.

--- a/core/src/test/java/io/hornbeamfield/core/search/FaultyMechanismsTest.java
+++ b/core/src/test/java/io/hornbeamfield/core/search/FaultyMechanismsTest.java
@@ -31,7 +31,8 @@
 
     private static void assertFound(String expected, Schedule schedule) {
         var found = schedule.search(SCHEDULES, 150);
-        System.out.println("faulty variant: " + found.map(Object::toString).orElse("not found"));
+        System.out.println("faulty variant \"" + expected + "\": "
+                + found.map(Object::toString).orElse("not found"));
         assertThat(found).isPresent();
         assertThat(found.get().message()).contains(expected);
     }
@@ -97,6 +98,16 @@
         });
     }
 
+    @Test
+    void releasingTokensThatTheDeadRouterHadSentToOthersIsFound() {
+        assertFound("tokens exist of", () -> new Mechanisms() {
+            @Override
+            long released(HolderEntry real, HolderEntry recorded) {
+                return real.spent();
+            }
+        });
+    }
+
     @Test
     void ignoringATakeoverOnALedgerConflictIsFound() {
         assertFound("has 2 bills", Schedule.billing(() -> new Mechanisms() {
--- a/core/src/test/java/io/hornbeamfield/core/search/Mechanisms.java
+++ b/core/src/test/java/io/hornbeamfield/core/search/Mechanisms.java
@@ -3,6 +3,7 @@
 import io.hornbeamfield.core.budget.Allotment;
 import io.hornbeamfield.core.budget.BudgetRecord;
 import io.hornbeamfield.core.budget.BudgetUpdate;
+import io.hornbeamfield.core.budget.HolderEntry;
 import io.hornbeamfield.core.budget.TransferGrant;
 import io.hornbeamfield.core.identity.RequestKey;
 import io.hornbeamfield.core.ledger.LedgerBatch;
@@ -52,4 +53,9 @@
     boolean followsUpDroppedBills() {
         return true;
     }
+
+    /** What an operator counts as used when it releases the entry of a router that is gone. */
+    long released(HolderEntry real, HolderEntry recorded) {
+        return real.spent() + real.sentOut() - recorded.sentOut();
+    }
 }
--- a/core/src/test/java/io/hornbeamfield/core/search/Step.java
+++ b/core/src/test/java/io/hornbeamfield/core/search/Step.java
@@ -27,6 +27,7 @@
         PAUSE(2, 5),
         RESUME(3, 5),
         PARTITION(2, 4),
+        RELEASE(3, 0),
         ADVANCE(1, 0);
 
         private final int[] weights;
--- a/core/src/test/java/io/hornbeamfield/core/search/World.java
+++ b/core/src/test/java/io/hornbeamfield/core/search/World.java
@@ -35,6 +35,7 @@
     final List<Message> messages = new ArrayList<>();
     private final long[] granted;
     private final boolean[][] folded;
+    private final long[] stranded;
     private final boolean[][] partitioned;
     /** Tokens of transfers that were debited at their sender and not credited, by transfer id. */
     private final List<Map<String, Long>> inTransfer = new ArrayList<>();
@@ -50,6 +51,7 @@
             platform.put("budgets/b" + b, 0, BudgetRecord.create("b" + b));
             topUp(b, "first", GRANTED);
         }
+        stranded = new long[size.budgets()];
         routers = new RouterModel[size.routers()];
         folded = new boolean[size.routers()][size.budgets()];
         partitioned = new boolean[size.routers()][size.routers()];
@@ -111,6 +113,7 @@
             case ADVANCE -> advance(Duration.ofSeconds(250));
             case CRASH -> !r.crashed && (r.crashed = true);
             case PAUSE -> r.active() && (r.paused = true);
+            case RELEASE -> r.crashed && release(r, b);
             case RESUME -> !r.crashed && r.paused && !(r.paused = false);
             case PARTITION -> partition(step.a() % routers.length, step.b() % routers.length);
             case FINISH, TAKE, RETURN, READ, TRANSFER, FLUSH, TAKEOVER, TIMEOUT, CLOSE ->
@@ -183,6 +186,23 @@
         return platform.put("budgets/b" + b, current.version(), after);
     }
 
+    /**
+     * An operator confirms that a router is gone. Its open requests count in full; what it received late is stranded.
+     */
+    private boolean release(RouterModel r, int b) {
+        Platform.Versioned current = platform.get("budgets/b" + b, 0);
+        BudgetRecord record = (BudgetRecord) current.value();
+        HolderEntry stored = record.holders().get(r.incarnation);
+        if (stored == null) {
+            return false;
+        }
+        HolderEntry real = r.allotments[b].counters();
+        long used = mechanisms.released(real, stored) + r.allotments[b].reserved();
+        folded[r.index][b] = true;
+        stranded[b] += r.allotments[b].reserved() + real.receivedIn() - stored.receivedIn();
+        return platform.put("budgets/b" + b, current.version(), record.withRelease(r.incarnation, used));
+    }
+
     private boolean transfer(RouterModel to, RouterModel from, int b, long tokens) {
         if (to == from) {
             return false;
@@ -291,6 +311,7 @@
         BudgetRecord record = (BudgetRecord) platform.get("budgets/b" + b, 0).value();
         long produced = 0;
         long sum = record.free()
+                + stranded[b]
                 + inTransfer.get(b).values().stream().mapToLong(Long::longValue).sum();
         for (RouterModel r : routers) {
             HolderEntry own = r.allotments[b].counters();
