--- a/core/src/main/java/io/hornbeamfield/core/identity/RequestRegistry.java
+++ b/core/src/main/java/io/hornbeamfield/core/identity/RequestRegistry.java
@@ -95,14 +95,14 @@
         if (entry != null) {
             return known(entry, fingerprint);
         }
-        long age = clock.instant().getEpochSecond() - key.issuedEpochSecond();
+        long age = age(key);
         if (age > limits.keyLifetime().toSeconds()) {
             return new Admission.Refused<>(Refusal.of(
                     ResultCode.KEY_EXPIRED,
                     "The key was issued " + age + " s ago, more than the key lifetime of "
                             + limits.keyLifetime().toSeconds() + " s. Check whether the request took effect."));
         }
-        if (age < -RegistryLimits.MAX_AHEAD.toSeconds()) {
+        if (isTooFarAhead(key)) {
             refusedWithoutEntry.add(workspace, key);
             return new Admission.Refused<>(effective(
                     key,
@@ -178,7 +178,7 @@
             ScopedKey id = new ScopedKey(workspace, key);
             entry = entries.get(id);
             if (entry == null) {
-                if (entries.size() >= limits.maxKeys()) {
+                if (entries.size() >= limits.maxKeys() || isTooFarAhead(key)) {
                     refusedWithoutEntry.add(workspace, key);
                     return effective;
                 }
@@ -213,6 +213,15 @@
                 .add(id);
     }
 
+    private long age(RequestKey key) {
+        return clock.instant().getEpochSecond() - key.issuedEpochSecond();
+    }
+
+    /** An entry for such a key would stay until long after its time has come. */
+    private boolean isTooFarAhead(RequestKey key) {
+        return -age(key) > RegistryLimits.MAX_AHEAD.toSeconds();
+    }
+
     private Refusal effective(RequestKey key, Refusal refusal) {
         if (key.owner().equals(incarnation) || refusal.code().ran() == Ran.UNKNOWN) {
             return refusal;
--- a/core/src/test/java/io/hornbeamfield/core/identity/RequestRegistryTest.java
+++ b/core/src/test/java/io/hornbeamfield/core/identity/RequestRegistryTest.java
@@ -118,6 +118,15 @@
         assertThat(runs(admit("bbbbbbbb")) || runs(admit("cccccccc"))).isTrue();
     }
 
+    @Test
+    void aKeyFromTheFutureThatIsRefusedBeforeItWasAdmittedTakesNoEntry() {
+        RequestKey early = new RequestKey(SELF, 99_000, "aaaaaaaa");
+        registry.refuse(early, "w", "body", Refusal.of(ResultCode.LEAVING, "The router stops."));
+        assertThat(registry.size()).isZero();
+        clock.advance(Duration.ofSeconds(89_000));
+        assertThat(runs(registry.admit(early, "w", "body"))).isFalse();
+    }
+
     @Test
     void aKeyRefusedByAFullRegistryDoesNotRunWhenThereIsRoomAgain() {
         RequestKey old = new RequestKey(SELF, 9_500, "aaaaaaaa");
