--- a/load/src/main/java/io/hornbeamfield/load/policy/Scenario.java
+++ b/load/src/main/java/io/hornbeamfield/load/policy/Scenario.java
@@ -6,6 +6,8 @@
     ALL_UP,
     /** One third of the routers cannot reach the platform for ten minutes; their peers can be reached. */
     PARTITION,
+    /** As {@link #PARTITION}, but the cut-off routers and the others cannot reach each other either. */
+    ISOLATION,
     /** Two routers are killed with open streams and replaced; an operator releases their entries after five minutes. */
     KILLS,
     /** Two routers are killed with open streams and replaced; nobody releases their entries. */
--- a/load/src/main/java/io/hornbeamfield/load/policy/SimRouter.java
+++ b/load/src/main/java/io/hornbeamfield/load/policy/SimRouter.java
@@ -19,6 +19,7 @@
     private static final long PEER_ROUND_MS = 250;
     private static final long WATCH_MS = 60_000;
     private static final long REREAD_MS = 1_000;
+    private static final long UNKNOWN_POTENTIAL = Long.MAX_VALUE / 4;
 
     final String incarnation;
     final int index;
@@ -247,6 +248,12 @@
             return;
         }
         SimRouter peer = sim.routers().get((index + distance) % sim.routers().size());
+        if (!sim.linked(this, peer)) {
+            // What an unreachable peer holds is not known, so nothing is refused early.
+            b.scarcity.potentialUnknown();
+            askPeer(b, distance + 1, UNKNOWN_POTENTIAL);
+            return;
+        }
         String id = incarnation + "-" + sim.nextSerial();
         b.allotment.expectTransfer(id);
         sim.peerRequest();
--- a/load/src/main/java/io/hornbeamfield/load/policy/Simulation.java
+++ b/load/src/main/java/io/hornbeamfield/load/policy/Simulation.java
@@ -64,6 +64,10 @@
         return routers;
     }
 
+    boolean linked(SimRouter from, SimRouter to) {
+        return scenario != Scenario.ISOLATION || from.cutOff == to.cutOff;
+    }
+
     long nextSerial() {
         return ++serial;
     }
@@ -98,7 +102,7 @@
                 events.at(end / 4, () -> kill(1));
                 events.at(end / 2, () -> kill(4));
             }
-            case PARTITION -> {
+            case PARTITION, ISOLATION -> {
                 events.at(CUT_OFF_FROM_SECOND * 1_000, () -> cutOff(true));
                 events.at((CUT_OFF_FROM_SECOND + CUT_OFF_SECONDS) * 1_000, () -> cutOff(false));
             }
