Close idle connections to an address after a timeout

Cause: when all kept connections to an address went silent, each of them cost the next request one timeout. Bills of whole answers stayed unwritten for several times 3 s after silent platform connections.

Ruled out: no reuse for platform calls, which would add a connection for each of them.

Conclusion: one timeout per address is left, the 3 s of the platform client.

--- a/net/src/main/java/io/hornbeamfield/net/http/internal/ConnectionCache.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/ConnectionCache.java
@@ -50,6 +50,18 @@
         }
     }
 
+    /**
+     * Closes the idle connections to an address on which a request got no answer in time: when one connection goes
+     * silent, for example because a device between dropped its state, the others usually have too.
+     */
+    void discardIdle(InetSocketAddress address) {
+        Connection<?> c = pollIdle(address);
+        while (c != null) {
+            c.closeSilently();
+            c = pollIdle(address);
+        }
+    }
+
     private @org.jspecify.annotations.Nullable Connection<?> pollIdle(InetSocketAddress address) {
         Deque<Connection<?>> queue = idle.get(address);
         if (queue == null) {
--- a/net/src/main/java/io/hornbeamfield/net/http/internal/Exchange.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/Exchange.java
@@ -115,6 +115,9 @@
 
     void fail(CallFailure failure) {
         if (close()) {
+            if (failure.kind() == CallFailure.Kind.TIMED_OUT) {
+                connections.discardIdle(address());
+            }
             listener.onFailure(failure);
         }
     }
