Read the adopted revision where the admin port shows it

Cause: hornbeamctl status read configRevision at the top of the state dump, but a router nests it below control, so every router showed no revision.

Change: status reads control.configRevision; the fake router of the unit test answers like a real one, and an end-to-end test compares all routers.

Ruled out: repeating the field at the top of the dump.

Before/after: InstanceCommandsTest (3) and PresetSwitchTest (4) pass.

Conclusion: a changed dump is now noticed by PresetSwitchTest.

--- a/ctl/src/main/java/io/hornbeamfield/ctl/internal/InstanceCommands.java
+++ b/ctl/src/main/java/io/hornbeamfield/ctl/internal/InstanceCommands.java
@@ -95,7 +95,7 @@
 
     private static long adoptedRevision(CompletableFuture<JsonNode> state) {
         try {
-            return state.join().path("configRevision").asLong(-1);
+            return state.join().path("control").path("configRevision").asLong(-1);
         } catch (CompletionException e) {
             return -1;
         }
--- a/ctl/src/test/java/io/hornbeamfield/ctl/InstanceCommandsTest.java
+++ b/ctl/src/test/java/io/hornbeamfield/ctl/InstanceCommandsTest.java
@@ -18,7 +18,7 @@
     private final HttpServer admin = HttpServer.builder()
             .route("GET", "/state", x -> {
                 boolean known = x.header("Authorization").orElse("").equals("Bearer o");
-                x.replyJson(known ? 200 : 401, "{\"configRevision\":1,\"inFlight\":3}".getBytes(UTF_8));
+                x.replyJson(known ? 200 : 401, "{\"control\":{\"configRevision\":1},\"inFlight\":3}".getBytes(UTF_8));
             })
             .start();
 
--- a/it/src/test/java/io/hornbeamfield/it/PresetSwitchTest.java
+++ b/it/src/test/java/io/hornbeamfield/it/PresetSwitchTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import io.hornbeamfield.it.fleet.Operator;
 import io.hornbeamfield.it.fleet.RouterHandle;
 import io.hornbeamfield.it.fleet.Waits;
@@ -69,6 +70,15 @@
         requireInForce(switchTo("peak"), scenario.fleet.routers());
     }
 
+    @Test
+    void statusShowsTheRevisionThatEachRouterHasAdopted() {
+        long revision = switchTo("ordinary");
+        requireInForce(revision, scenario.fleet.routers());
+        JsonNode routers = scenario.fleet.operator().run("status").orFail().path("routers");
+        assertThat(routers).hasSize(scenario.fleet.routers().size());
+        assertThat(routers).allMatch(r -> r.path("revision").asLong() == revision);
+    }
+
     @Test
     void manySwitchesUnderStaleReadsNeverRevert() {
         scenario.fleet.platformFaults("{\"staleReads\":0.5}");
