--- a/core/src/main/java/io/hornbeamfield/core/budget/Allotment.java
+++ b/core/src/main/java/io/hornbeamfield/core/budget/Allotment.java
@@ -122,10 +122,17 @@
 
     /** Returns whether returned or transferred tokens are not yet in the budget record. */
     public synchronized boolean hasUnrecordedMoves() {
-        return state != State.CLOSED
-                && (returned > recorded.returned()
-                        || sentOut > recorded.sentOut()
-                        || receivedIn > recorded.receivedIn());
+        return unrecordedReturn() > 0 || unrecordedTransfers() > 0;
+    }
+
+    /** Returns the tokens whose return is not confirmed yet. */
+    public synchronized long unrecordedReturn() {
+        return state == State.CLOSED ? 0 : returned - recorded.returned();
+    }
+
+    /** Returns the tokens sent or received by transfers that are not in the budget record yet. */
+    public synchronized long unrecordedTransfers() {
+        return state == State.CLOSED ? 0 : sentOut - recorded.sentOut() + receivedIn - recorded.receivedIn();
     }
 
     /**
--- a/ctl/src/main/java/io/hornbeamfield/ctl/internal/Platform.java
+++ b/ctl/src/main/java/io/hornbeamfield/ctl/internal/Platform.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 /** Blocking access to the platform with a few attempts per call. */
@@ -64,13 +65,27 @@
             if (i == ATTEMPTS) {
                 throw new CtlFailure(
                         ResultCode.PLATFORM_UNAVAILABLE,
-                        "Cannot write " + key + ": " + n.reason() + " Nothing was changed by this write. Try again when"
-                                + " the platform answers.");
+                        "Cannot write " + key + ": " + sentence(n.reason())
+                                + " Nothing was changed by this write. Try again when" + " the platform answers.");
             }
             pause(i);
         }
     }
 
+    /** Removes the objects under a prefix whose keys fulfil the condition, as far as the platform answers. */
+    public void removeIf(String prefix, Predicate<String> condition) {
+        try {
+            for (VersionedValue v : client.list(prefix, "", PAGE).join().objects()) {
+                if (condition.test(v.key())) {
+                    client.delete(v.key(), v.version()).join();
+                }
+            }
+        } catch (CompletionException e) {
+            // The command has done its work; a later one removes the objects.
+            return;
+        }
+    }
+
     private static <T> T attempt(Supplier<CompletableFuture<T>> call, String what) {
         for (int i = 1; ; i++) {
             try {
@@ -82,13 +97,18 @@
                             : String.valueOf(e.getCause().getMessage());
                     throw new CtlFailure(
                             ResultCode.PLATFORM_UNAVAILABLE,
-                            "Cannot " + what + ": " + reason + " Check --platform and --token and try again.");
+                            "Cannot " + what + ": " + sentence(reason)
+                                    + " Check --platform and --token and try again.");
                 }
                 pause(i);
             }
         }
     }
 
+    private static String sentence(String reason) {
+        return reason.endsWith(".") ? reason : reason + ".";
+    }
+
     /** Waits longer after each attempt. */
     static void pause(int attempt) {
         try {
--- a/load/src/main/java/io/hornbeamfield/load/policy/BudgetAtRouter.java
+++ b/load/src/main/java/io/hornbeamfield/load/policy/BudgetAtRouter.java
@@ -3,6 +3,7 @@
 import io.hornbeamfield.core.budget.Allotment;
 import io.hornbeamfield.core.budget.BudgetRecord;
 import io.hornbeamfield.core.budget.DemandRate;
+import io.hornbeamfield.core.budget.Scarcity;
 import java.util.ArrayDeque;
 import java.util.Deque;
 
@@ -24,6 +25,7 @@
     boolean busy;
     boolean watching;
     boolean asking;
+    final Scarcity scarcity = new Scarcity();
 
     BudgetAtRouter(int index, Allotment allotment, DemandRate rate, BudgetRecord seen) {
         this.index = index;
@@ -31,4 +33,11 @@
         this.rate = rate;
         this.seen = seen;
     }
+
+    /** Returns the tokens that the smallest waiting request lacks, or 0 when none waits. */
+    long smallestLack() {
+        long smallest =
+                waiting.stream().mapToLong(w -> w.request().reserve()).min().orElse(0);
+        return Math.max(0, smallest - allotment.available());
+    }
 }
