--- a/it/src/main/java/io/hornbeamfield/it/callers/FarEndReader.java
+++ b/it/src/main/java/io/hornbeamfield/it/callers/FarEndReader.java
@@ -119,6 +119,11 @@
                 .sum();
     }
 
+    /** Returns the tokens that all runs of services cost. */
+    public long serviceTokens() {
+        return serviceRuns().stream().mapToLong(r -> r.count()).sum() * tokensPerCall(fleet.plan());
+    }
+
     /** Returns all bills of all ledgers. */
     public List<LedgerRecord.Bill> bills() {
         List<LedgerRecord.Bill> all = new ArrayList<>();
--- a/it/src/main/java/io/hornbeamfield/it/fleet/FleetPlan.java
+++ b/it/src/main/java/io/hornbeamfield/it/fleet/FleetPlan.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 
 /**
  * What a fleet consists of: a configuration document as hornbeamctl applies it, whose backend servers are started with
@@ -82,7 +83,7 @@
     }
 
     /** Returns this plan with a change of its configuration document. */
-    public FleetPlan withConfiguration(java.util.function.Consumer<ObjectNode> change) {
+    public FleetPlan withConfiguration(Consumer<ObjectNode> change) {
         ObjectNode copy = configuration.deepCopy();
         change.accept(copy);
         return new FleetPlan(
--- a/it/src/main/java/io/hornbeamfield/it/fleet/Processes.java
+++ b/it/src/main/java/io/hornbeamfield/it/fleet/Processes.java
@@ -6,9 +6,14 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
+import java.util.stream.Stream;
 
-/** The processes that this JVM started. They end with it, by their own handles. */
+/**
+ * The processes that this JVM started. They end with it, by their own handles. Their settings and output are deleted at
+ * the end unless the system property {@code it.keepLogs} is true.
+ */
 final class Processes implements AutoCloseable {
     private static final Duration START_LIMIT = Duration.ofSeconds(60);
     /** Short-lived small processes: start fast and stay small rather than run fast. */
@@ -50,5 +55,16 @@
         killAll();
         started.forEach(p -> p.awaitExit(Duration.ofSeconds(5)));
         Runtime.getRuntime().removeShutdownHook(hook);
+        if (!Boolean.getBoolean("it.keepLogs")) {
+            deleteDirectory();
+        }
+    }
+
+    private void deleteDirectory() {
+        try (Stream<Path> files = Files.walk(directory)) {
+            files.sorted(Comparator.reverseOrder()).forEach(f -> f.toFile().delete());
+        } catch (IOException e) {
+            throw new UncheckedIOException("Cannot delete " + directory + ".", e);
+        }
     }
 }
--- a/it/src/main/java/io/hornbeamfield/it/fleet/RouterHandle.java
+++ b/it/src/main/java/io/hornbeamfield/it/fleet/RouterHandle.java
@@ -7,6 +7,7 @@
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 
 /** A router of the fleet: its addresses, the names of its links and its process, which a restart replaces. */
 public final class RouterHandle {
@@ -56,7 +57,7 @@
 
     private ManagedProcess launch(Processes processes) {
         return processes.start(
-                id, "io.hornbeamfield.router.Main", java.util.List.of("--settings", settings.toString()));
+                id, "io.hornbeamfield.router.Main", List.of("--settings", settings.toString()));
     }
 
     /** Starts the instance again, as a new incarnation at the same addresses. */
--- a/it/src/test/java/io/hornbeamfield/it/RacingOperatorsTest.java
+++ b/it/src/test/java/io/hornbeamfield/it/RacingOperatorsTest.java
@@ -5,6 +5,8 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.hornbeamfield.it.fleet.Operator;
 import io.hornbeamfield.it.fleet.Waits;
+import io.hornbeamfield.net.json.Json;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -42,8 +44,8 @@
                 String file = scenario.fleet
                         .write(
                                 "change-" + round + ".json",
-                                io.hornbeamfield.net.json.Json.parse(
-                                        grown.getBytes(java.nio.charset.StandardCharsets.UTF_8)))
+                                Json.parse(
+                                        grown.getBytes(StandardCharsets.UTF_8)))
                         .toString();
                 var one = CompletableFuture.supplyAsync(() -> run("presets", "switch", wanted));
                 var other = CompletableFuture.supplyAsync(() -> run("apply", "-f", file));
