Wait for a serving peer before a starting router serves

Cause: a starting router served the first head that it read. The platform can answer with an old copy, and heartbeats arrive a second later, so callers of that router saw an accepted preset switch revert for a second or two. A newer revision was also forgotten when the link to the only peer that had it closed. Change: a router serves once a serving peer has answered or 3 s (PEER_WAIT) have passed since its start, and its head is at least as new as that of every peer that ever answered. Before it serves, its heartbeats and state say revision 0, so that two starting routers do not accept each other's old head. Tests of a router without peers now let the wait pass first. Ruled out: ending the wait when the instance list names no other router, because the list lags; counting peers that have a head but do not serve it. Cost: a fleet in which no router serves yet starts 3 s later.

--- a/core/src/main/java/io/hornbeamfield/core/config/ConfigAdoption.java
+++ b/core/src/main/java/io/hornbeamfield/core/config/ConfigAdoption.java
@@ -25,6 +25,12 @@
     /** Time without a confirmation of the adopted revision after which the configuration is stale. */
     public static final Duration STALE_AFTER = Duration.ofSeconds(17);
 
+    /**
+     * Time after the start in which a router waits for the revision of a serving peer. A head that it reads from the
+     * platform can be an old copy. Linked peers answer within about 2 s of the start: one dial, then one heartbeat.
+     */
+    public static final Duration PEER_WAIT = Duration.ofSeconds(3);
+
     /**
      * Added to the age that a peer reports. It is longer than the way of a heartbeat, so that two routers that are both
      * cut off from the platform cannot keep each other's confirmation alive by passing it back and forth.
@@ -40,12 +46,16 @@
     private boolean platformAvailable = true;
     private long platformRevision;
     private Instant platformAnsweredAt = Instant.MIN;
+    private final Instant startedAt;
+    private boolean peerAnswered;
+    private long newestAtPeers;
     private boolean serving;
 
     private record PeerReport(long revision, Instant confirmedAt) {}
 
     public ConfigAdoption(Clock clock) {
         this.clock = clock;
+        this.startedAt = clock.instant();
     }
 
     /** Adopts a head if it is newer than the one in force. Returns whether it was adopted. */
@@ -74,18 +84,20 @@
     }
 
     /**
-     * Records the revision that a peer has in force and the age of its confirmation; a negative age means that the peer
-     * has none.
+     * Records the revision that a peer serves and the age of its confirmation; revision 0 means that the peer does not
+     * serve yet, a negative age that it has no confirmation.
      */
     public void peerReported(String peer, long revision, long confirmationAgeMs) {
         Instant at = confirmationAgeMs < 0
                 ? Instant.MIN
                 : clock.instant().minus(HOP_MARGIN).minusMillis(Math.min(confirmationAgeMs, MAX_AGE_MS));
         peers.put(peer, new PeerReport(revision, at));
+        peerAnswered |= revision > 0;
+        newestAtPeers = Math.max(newestAtPeers, revision);
         update();
     }
 
-    /** Forgets a peer whose link has closed. */
+    /** Forgets a peer whose link has closed. A starting router still needs the revision that the peer had. */
     public void peerLost(String peer) {
         peers.remove(peer);
         update();
@@ -103,12 +115,23 @@
 
     /**
      * Returns whether this router may serve: it has adopted a head that is at least as new as that of every peer that
-     * answered. Once it serves, a newer revision elsewhere does not stop it.
+     * answered, and a serving peer has answered or {@link #PEER_WAIT} has passed since the start. Once it serves, a
+     * newer revision elsewhere does not stop it.
      */
     public boolean mayServe() {
+        serving = serving || (revision() > 0 && revision() >= newestAtPeers && (peerAnswered || waitEnded()));
         return serving;
     }
 
+    private boolean waitEnded() {
+        return Duration.between(startedAt, clock.instant()).compareTo(PEER_WAIT) >= 0;
+    }
+
+    /** Returns the revision that this router serves, for heartbeats; 0 before it may serve. */
+    public long servedRevision() {
+        return mayServe() ? revision() : 0;
+    }
+
     /** Returns the age of the confirmation for heartbeats, in milliseconds, or -1 if there is none. */
     public long confirmationAgeMs() {
         return confirmedAt.equals(Instant.MIN)
@@ -153,8 +176,6 @@
             confirmAt(platformAnsweredAt);
         }
         peers.values().stream().filter(p -> p.revision() == revision()).forEach(p -> confirmAt(p.confirmedAt()));
-        long atPeers = newestPeer().map(ConfigFetch::revision).orElse(0L);
-        serving = serving || (revision() > 0 && revision() >= atPeers);
     }
 
     private void confirmAt(Instant at) {
--- a/router/src/main/java/io/hornbeamfield/router/control/internal/ConfigController.java
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/ConfigController.java
@@ -62,7 +62,7 @@
         context.loop().every(CHECK_PERIOD, this::check);
     }
 
-    /** Returns the revision in force. Callable from any thread. */
+    /** Returns the revision in force, 0 before this router may serve. Callable from any thread. */
     long revision() {
         return confirmation.revision();
     }
@@ -181,7 +181,7 @@
         }
         long age = adoption.confirmationAgeMs();
         confirmation = new Confirmation(
-                adoption.revision(), age < 0 ? Instant.MIN : context.now().minusMillis(age));
+                adoption.servedRevision(), age < 0 ? Instant.MIN : context.now().minusMillis(age));
         boolean stale = adoption.isStale();
         if (stale != context.blackboard().configStale()) {
             context.blackboard().publishConfigStale(stale);
--- a/router/src/test/java/io/hornbeamfield/router/control/internal/ConfigFollowingTest.java
+++ b/router/src/test/java/io/hornbeamfield/router/control/internal/ConfigFollowingTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.hornbeamfield.core.config.ConfigAdoption;
 import io.hornbeamfield.core.config.ConfigHead;
 import io.hornbeamfield.core.config.Priority;
 import io.hornbeamfield.core.config.ServerState;
@@ -34,6 +35,12 @@
         loop.run();
     }
 
+    /** Starts the controller and lets the time pass in which it waits for peers. */
+    private void startWithoutPeers() {
+        config.start();
+        loop.advance(ConfigAdoption.PEER_WAIT);
+    }
+
     private static ConfigHead withShard(ConfigHead head, long shardRevision) {
         return new ConfigHead(
                 head.revision(),
@@ -60,8 +67,7 @@
     @Test
     void aNewRevisionIsInForceAsSoonAsTheWatchAnswers() {
         publish(1);
-        config.start();
-        loop.run();
+        startWithoutPeers();
         assertThat(inForce()).isEqualTo(1);
         publish(2);
         assertThat(inForce()).isEqualTo(2);
@@ -71,7 +77,7 @@
     void aRevisionIsAdoptedOnlyWithItsShards() {
         String key = "config/workspaces/" + WorkspaceShard.shardOf("plots") + "/5";
         store.put(ConfigController.HEAD_KEY, withShard(TestRouter.head(5, Map.of()), 5));
-        config.start();
+        startWithoutPeers();
         loop.advanceMillis(600);
         assertThat(inForce()).isZero();
         store.put(key, shard());
@@ -84,8 +90,7 @@
     @Test
     void anOlderHeadFromALaggingCopyOrPeerNeverReverts() {
         publish(7);
-        config.start();
-        loop.run();
+        startWithoutPeers();
         publish(6);
         router.hub.onMessage(peer(6, 0), new PeerMessage.ConfigOffer(TestRouter.head(6, Map.of()), Map.of()));
         loop.advanceMillis(1_000);
@@ -95,8 +100,7 @@
     @Test
     void anInvalidRevisionIsNotAdoptedAndACorrectedOneIs() {
         publish(1);
-        config.start();
-        loop.run();
+        startWithoutPeers();
         ConfigHead good = TestRouter.head(2, Map.of());
         store.put(ConfigController.HEAD_KEY, new ConfigHead(2, "holiday", good.presets(), good.pools(), Map.of(), 6));
         loop.advanceMillis(5_000);
@@ -128,6 +132,43 @@
         assertThat(inForce()).isEqualTo(9);
     }
 
+    @Test
+    void aStaleReadBeforeTheFirstHeartbeatIsNotServed() {
+        publish(8);
+        config.start();
+        loop.advanceMillis(1_000);
+        assertThat(inForce()).isZero();
+        assertThat(config.revision()).isZero();
+        FakeLink peer = peer(9, 0);
+        loop.advance(ConfigAdoption.PEER_WAIT);
+        assertThat(inForce()).isZero();
+        router.hub.onMessage(peer, new PeerMessage.ConfigOffer(TestRouter.head(9, Map.of()), Map.of()));
+        loop.run();
+        assertThat(inForce()).isEqualTo(9);
+        assertThat(config.revision()).isEqualTo(9);
+    }
+
+    @Test
+    void theFirstHeartbeatOfAServingPeerEndsTheWait() {
+        publish(8);
+        config.start();
+        loop.advanceMillis(200);
+        peer(8, 0);
+        assertThat(inForce()).isEqualTo(8);
+    }
+
+    @Test
+    void withoutPlatformAndPeersNothingIsServedUntilThePlatformReturns() {
+        publish(8);
+        router.platform.away = true;
+        config.start();
+        loop.advance(Duration.ofSeconds(20));
+        assertThat(inForce()).isZero();
+        router.platform.away = false;
+        loop.advance(Duration.ofSeconds(3));
+        assertThat(inForce()).isEqualTo(8);
+    }
+
     @Test
     void aRouterWithANewerRevisionOffersItToAPeerThatAsks() {
         publish(3);
