Name the workspace in the request ids of ledgers

Cause: keys are scoped by workspace, but ledgers named a request by its key alone. Two workspaces that used the same key text had one bill: the second was taken for a repetition of the first. Change: the request id in ledgers is <key>/<workspace>, written and parsed by LedgerRequestId, also where the owner of a bill is looked up. The judge compares runs and bills by the same id. Tests: the same key in two workspaces must give two bills with different ids; the existing ledger tests use the new form. The search of the decision logic uses the new id too. Ruled out: a separate field for the workspace in takeover records, because every map of pending and taken-over requests would need a second key. Ids in ledgers that were written before do not match; there are no such ledgers outside tests.

--- a/core/src/main/java/io/hornbeamfield/core/identity/RequestKey.java
+++ b/core/src/main/java/io/hornbeamfield/core/identity/RequestKey.java
@@ -27,7 +27,7 @@
         return Result.ok(new RequestKey(m.group(1), Long.parseLong(m.group(2)), m.group(3)));
     }
 
-    /** Returns the text form, which is also the request id in ledgers and at engines. */
+    /** Returns the text form, with which request ids in ledgers and at engines begin. */
     public String text() {
         return owner + "." + issuedEpochSecond + "." + nonce;
     }
--- a/core/src/test/java/io/hornbeamfield/core/search/RouterModel.java
+++ b/core/src/test/java/io/hornbeamfield/core/search/RouterModel.java
@@ -10,6 +10,7 @@
 import io.hornbeamfield.core.identity.RequestRegistry;
 import io.hornbeamfield.core.ledger.LedgerBatch;
 import io.hornbeamfield.core.ledger.LedgerRecord.Bill;
+import io.hornbeamfield.core.ledger.LedgerRequestId;
 import io.hornbeamfield.core.ledger.LedgerWriter;
 import io.hornbeamfield.core.ledger.PendingWrite;
 import io.hornbeamfield.core.ledger.SettledBills;
@@ -205,7 +206,10 @@
                 request.key,
                 world.mechanisms.scope(request.key, refusals.getOrDefault(request.key.text(), 0)),
                 "outcome");
-        bill(new Bill(request.key.text(), "w", "b" + r.budget(), used, "model", "complete"), request.owner);
+        bill(
+                new Bill(
+                        new LedgerRequestId(request.key, "w").text(), "w", "b" + r.budget(), used, "model", "complete"),
+                request.owner);
         List<Consumer<Answer>> waiting = replies.remove(request);
         if (waiting != null) {
             waiting.forEach(reply -> reply.accept(Answer.COMPLETE));
@@ -232,8 +236,8 @@
 
     private void dropped(List<Bill> bills) {
         if (world.mechanisms.followsUpDroppedBills()) {
-            bills.forEach(b ->
-                    takeOver(b, b.requestId().substring(0, b.requestId().indexOf('.'))));
+            bills.forEach(b -> takeOver(
+                    b, LedgerRequestId.parse(b.requestId()).fold(LedgerRequestId::owner, refusal -> incarnation)));
         }
     }
 
--- a/core/src/test/java/io/hornbeamfield/core/search/World.java
+++ b/core/src/test/java/io/hornbeamfield/core/search/World.java
@@ -7,6 +7,7 @@
 import io.hornbeamfield.core.identity.RequestKey;
 import io.hornbeamfield.core.ledger.LedgerBatch;
 import io.hornbeamfield.core.ledger.LedgerRecord;
+import io.hornbeamfield.core.ledger.LedgerRequestId;
 import io.hornbeamfield.core.ledger.PendingWrite;
 import io.hornbeamfield.core.time.ManualClock;
 import java.time.Duration;
@@ -39,7 +40,7 @@
     /** Tokens of transfers that were debited at their sender and not credited, by transfer id. */
     private final List<Map<String, Long>> inTransfer = new ArrayList<>();
 
-    private final Map<String, Request> byKey = new HashMap<>();
+    private final Map<String, Request> byLedgerId = new HashMap<>();
     private int serial;
 
     World(Size size, Mechanisms mechanisms) {
@@ -69,7 +70,7 @@
             RequestKey key = new RequestKey(routers[owner].incarnation, 1_000, "request" + k);
             Request request = new Request(key, owner, k % size.budgets(), 10 + 5L * (k % 3), k % 3 != 2);
             requests.add(request);
-            byKey.put(key.text(), request);
+            byLedgerId.put(new LedgerRequestId(key, "w").text(), request);
         }
     }
 
@@ -267,7 +268,7 @@
         }
         for (LedgerRecord entry : write.batch().records()) {
             if (entry instanceof LedgerRecord.Bill bill) {
-                byKey.get(bill.requestId()).bills++;
+                byLedgerId.get(bill.requestId()).bills++;
             }
         }
         return Optional.empty();
--- a/it/src/main/java/io/hornbeamfield/it/judge/FarEnds.java
+++ b/it/src/main/java/io/hornbeamfield/it/judge/FarEnds.java
@@ -43,23 +43,28 @@
         return run.path();
     }
 
-    /** Routers append their attempt to the key after a tilde. */
-    static String keyOf(EngineRecord run) {
+    /** Returns the request id of a run in ledgers. Routers append their attempt to the key after a tilde. */
+    static String ledgerIdOf(EngineRecord run) {
         int tilde = run.requestId().indexOf('~');
-        return tilde < 0 ? run.requestId() : run.requestId().substring(0, tilde);
+        String key = tilde < 0 ? run.requestId() : run.requestId().substring(0, tilde);
+        return key + "/" + run.workspace();
+    }
+
+    static String ledgerIdOf(ServiceRecord run) {
+        return run.key() + "/" + run.workspace();
     }
 
     static long tokensOf(EngineRecord run) {
         return (long) run.promptTokens() + run.completionTokens();
     }
 
-    /** Returns the keys under which each request ran, by request id. */
+    /** Returns the keys, each with its workspace as in ledgers, under which each request ran, by request id. */
     Map<String, Set<String>> keysById() {
         Map<String, Set<String>> keys = new HashMap<>();
         engineRuns.forEach(
-                run -> keys.computeIfAbsent(idOf(run), id -> new TreeSet<>()).add(keyOf(run)));
+                run -> keys.computeIfAbsent(idOf(run), id -> new TreeSet<>()).add(ledgerIdOf(run)));
         serviceRuns.forEach(
-                run -> keys.computeIfAbsent(idOf(run), id -> new TreeSet<>()).add(run.key()));
+                run -> keys.computeIfAbsent(idOf(run), id -> new TreeSet<>()).add(ledgerIdOf(run)));
         return keys;
     }
 }
--- a/it/src/test/java/io/hornbeamfield/it/judge/JudgeTest.java
+++ b/it/src/test/java/io/hornbeamfield/it/judge/JudgeTest.java
@@ -45,7 +45,7 @@
     }
 
     private void bill(String key, long tokens) {
-        bills.add(new Bill(key, "w", "w", tokens, "model", "complete"));
+        bills.add(new Bill(key + "/w", "w", "w", tokens, "model", "complete"));
     }
 
     @Test
@@ -72,7 +72,7 @@
     void serviceCallsCountAsSpend() {
         run("k1~0a~1", 95, 1, 4);
         outcome("k2", Kind.UNKNOWN, 4001, 5);
-        calls.add(new ServiceRecord("key", "", "w:k2", 1, 1, 1));
+        calls.add(new ServiceRecord("key", "w", "w:k2", 1, 1, 1));
         assertThat(verdict().overspendTokens()).isEqualTo(5);
     }
 
@@ -112,9 +112,9 @@
 
     @Test
     void secondRunOfACallIsDoubleRun() {
-        calls.add(new ServiceRecord("k1", "", "/orders/1", 2, 1, 2));
-        calls.add(new ServiceRecord("k2", "", "/orders/2", 1, 1, 2));
-        calls.add(new ServiceRecord("k3", "", "/orders/2", 1, 1, 2));
+        calls.add(new ServiceRecord("k1", "w", "/orders/1", 2, 1, 2));
+        calls.add(new ServiceRecord("k2", "w", "/orders/2", 1, 1, 2));
+        calls.add(new ServiceRecord("k3", "w", "/orders/2", 1, 1, 2));
         assertThat(verdict().doubleRun()).isEqualTo(2);
     }
 
--- a/load/src/main/java/io/hornbeamfield/load/capacity/Subjects.java
+++ b/load/src/main/java/io/hornbeamfield/load/capacity/Subjects.java
@@ -21,6 +21,7 @@
 import io.hornbeamfield.core.ledger.LedgerBatch;
 import io.hornbeamfield.core.ledger.LedgerRecord;
 import io.hornbeamfield.core.ledger.LedgerRecord.Bill;
+import io.hornbeamfield.core.ledger.LedgerRequestId;
 import io.hornbeamfield.core.routing.BackendView;
 import io.hornbeamfield.core.routing.PrefixIndex;
 import io.hornbeamfield.core.time.ManualClock;
@@ -155,8 +156,10 @@
     static LedgerBatch ledgerBatch(long bills) {
         List<LedgerRecord> records = new ArrayList<>();
         for (long i = 0; i < bills; i++) {
-            String id = incarnation(1) + "." + START_EPOCH_SECOND + "." + String.format(Locale.ROOT, "%020d", i);
-            records.add(new Bill(id, "workspace-" + i % 40, "workspace-" + i % 40, 640 + i, "model", "complete"));
+            String workspace = "workspace-" + i % 40;
+            RequestKey key = new RequestKey(incarnation(1), START_EPOCH_SECOND, String.format(Locale.ROOT, "%020d", i));
+            records.add(new Bill(
+                    new LedgerRequestId(key, workspace).text(), workspace, workspace, 640 + i, "model", "complete"));
         }
         return new LedgerBatch(incarnation(1), "0f8fad5b-d9cb-469f-a165-70867728950e", records);
     }
--- a/router/src/main/java/io/hornbeamfield/router/control/internal/LedgerController.java
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/LedgerController.java
@@ -1,8 +1,8 @@
 package io.hornbeamfield.router.control.internal;
 
-import io.hornbeamfield.core.identity.RequestKey;
 import io.hornbeamfield.core.ledger.LedgerBatch;
 import io.hornbeamfield.core.ledger.LedgerRecord.Bill;
+import io.hornbeamfield.core.ledger.LedgerRequestId;
 import io.hornbeamfield.core.ledger.LedgerWriter;
 import io.hornbeamfield.core.ledger.PendingWrite;
 import io.hornbeamfield.core.ledger.SettledBills;
@@ -144,7 +144,8 @@
 
     /** Looks after a delay whether another incarnation has billed the request, and bills it if that one did not. */
     private void lookLater(Bill bill, Duration delay) {
-        String owner = RequestKey.parse(bill.requestId()).fold(RequestKey::owner, refusal -> context.incarnation());
+        String owner =
+                LedgerRequestId.parse(bill.requestId()).fold(LedgerRequestId::owner, refusal -> context.incarnation());
         context.loop().after(delay, () -> takeOver(bill, owner));
     }
 
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/Charges.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/Charges.java
@@ -2,6 +2,7 @@
 
 import io.hornbeamfield.core.budget.Reservation;
 import io.hornbeamfield.core.ledger.LedgerRecord.Bill;
+import io.hornbeamfield.core.ledger.LedgerRequestId;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -32,7 +33,7 @@
         if (spent == 0) {
             return CompletableFuture.completedFuture(null);
         }
-        String id = request.key().text();
+        String id = new LedgerRequestId(request.key(), request.workspace()).text();
         Bill bill = new Bill(
                 id, request.workspace(), request.budget(), spent, request.work().kind(), status);
         String owner = request.key().owner();
--- a/router/src/test/java/io/hornbeamfield/router/control/RouterControlTest.java
+++ b/router/src/test/java/io/hornbeamfield/router/control/RouterControlTest.java
@@ -104,7 +104,7 @@
         assertThat(reserve(a, 4_000)).isInstanceOf(Result.Ok.class);
         a.billing()
                 .bill(
-                        new Bill(a.incarnation() + ".1.nonce001", "plots", "plots", 10, "model", "complete"),
+                        new Bill(a.incarnation() + ".1.nonce001/plots", "plots", "plots", 10, "model", "complete"),
                         Optional.empty())
                 .get(5, TimeUnit.SECONDS);
         Result<Reservation> held = reserve(a, 500);
--- a/router/src/test/java/io/hornbeamfield/router/control/internal/LeavingTest.java
+++ b/router/src/test/java/io/hornbeamfield/router/control/internal/LeavingTest.java
@@ -53,7 +53,7 @@
         router.settle(request, 600);
         router.settle(late, 100);
         router.ledger.bill(
-                new Bill(router.incarnation + ".1000.nonce001", "plots", "plots", 600, "model", "complete"),
+                new Bill(router.incarnation + ".1000.nonce001/plots", "plots", "plots", 600, "model", "complete"),
                 Optional.empty());
         inFlight.set(0);
         loop.advanceMillis(3_000);
@@ -67,7 +67,7 @@
     void withThePlatformAwayItWaitsForTheBillsUpToALimit() {
         router.platform.away = true;
         router.ledger.bill(
-                new Bill(router.incarnation + ".1000.nonce001", "plots", "plots", 600, "model", "complete"),
+                new Bill(router.incarnation + ".1000.nonce001/plots", "plots", "plots", 600, "model", "complete"),
                 Optional.empty());
         inFlight.set(0);
         var left = leaving.leave();
--- a/router/src/test/java/io/hornbeamfield/router/control/internal/LedgerTest.java
+++ b/router/src/test/java/io/hornbeamfield/router/control/internal/LedgerTest.java
@@ -18,7 +18,7 @@
     private final TestRouter b = new TestRouter("b", store, loop);
 
     private static Bill bill(String owner, String nonce) {
-        return new Bill(owner + ".1000." + nonce, "plots", "plots", 10, "model", "complete");
+        return new Bill(owner + ".1000." + nonce + "/plots", "plots", "plots", 10, "model", "complete");
     }
 
     private CompletableFuture<Void> own(TestRouter router, String nonce) {
@@ -33,7 +33,7 @@
         return store.objects.values().stream()
                 .filter(o -> o.key().startsWith("ledger/"))
                 .flatMap(o -> Json.read(o.value(), LedgerBatch.class).records().stream())
-                .filter(r -> r instanceof Bill && r.requestId().endsWith(nonce))
+                .filter(r -> r instanceof Bill && r.requestId().endsWith(nonce + "/plots"))
                 .count();
     }
 
--- a/router/src/test/java/io/hornbeamfield/router/traffic/RequestKeyTest.java
+++ b/router/src/test/java/io/hornbeamfield/router/traffic/RequestKeyTest.java
@@ -179,5 +179,6 @@
         assertThat(engine.started).hasSize(2).doesNotHaveDuplicates();
         assertThat(reply.status()).isEqualTo(200);
         assertThat(owner.billing.bills).extracting(b -> b.workspace()).containsExactly("plots", "other");
+        assertThat(owner.billing.bills).extracting(b -> b.requestId()).containsExactly(key + "/plots", key + "/other");
     }
 }
--- a/router/src/test/java/io/hornbeamfield/router/traffic/StreamedAnswerTest.java
+++ b/router/src/test/java/io/hornbeamfield/router/traffic/StreamedAnswerTest.java
@@ -31,7 +31,7 @@
         assertThat(Sse.text(reply)).isEqualTo("0 1 2 3 4 5 ");
         assertThat(reply.text()).endsWith("data: [DONE]\n\n").contains("\"completion_tokens\":6");
         assertThat(router.billing.bills).singleElement().satisfies(bill -> {
-            assertThat(bill.requestId()).isEqualTo(Sse.id(reply));
+            assertThat(bill.requestId()).isEqualTo(Sse.id(reply) + "/plots");
             assertThat(bill.tokens()).isEqualTo(6 + FakeEngine.PROMPT_TOKENS);
             assertThat(bill.status()).isEqualTo("complete");
         });
