Drop and bound the accounts of budgets that do not exist

Cause: a router kept an account for every budget name that a caller sent, so an authenticated caller that invents names made the map of accounts grow without bound and caused one platform read a name. Change: an account is dropped when its record is absent or unread, nothing was ever held or reserved, no call, request or transfer is open and 10 s have passed since the last request. At most 64 accounts a workspace may be of budgets that are not known to exist; further names are refused with BUDGET_BUSY (not run, retry after 10 s). A reservation in progress pins its account, because two accounts of one budget would spend beside each other. The first budget of a workspace is exempt. Ruled out: a bound over all workspaces, which lets one workspace shut out others; dropping absent accounts at once, which repeats the read for each request.

--- a/core/src/main/java/io/hornbeamfield/core/budget/Allotment.java
+++ b/core/src/main/java/io/hornbeamfield/core/budget/Allotment.java
@@ -115,6 +115,14 @@
         return own(taken);
     }
 
+    /** Returns whether nothing was ever taken, received or reserved, as far as is confirmed. */
+    public synchronized boolean isUnused() {
+        return state == State.OPEN
+                && !entryExists
+                && reservations.isEmpty()
+                && own(taken).equals(HolderEntry.NONE);
+    }
+
     /** Returns the state in the life cycle. */
     public synchronized State state() {
         return state;
--- /dev/null
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/AccountTable.java
@@ -0,0 +1,110 @@
+package io.hornbeamfield.router.control.internal;
+
+import java.util.Collection;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BiConsumer;
+import java.util.function.Function;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The accounts of a router by budget. Callers choose the names of budgets, so accounts of budgets that do not exist are
+ * bounded and dropped. Thread-safe, except {@link #sweep}, which runs on the control thread.
+ */
+final class AccountTable {
+    /**
+     * With {@link BudgetAccount#UNUSED_AFTER} this limits one workspace to about 6 reads a second of absent records.
+     */
+    static final int MAX_UNKNOWN_PER_WORKSPACE = 64;
+
+    private final Function<String, BudgetAccount> factory;
+    private final Map<String, Entry> entries = new ConcurrentHashMap<>();
+    private final Map<String, Integer> unknownByWorkspace = new ConcurrentHashMap<>();
+
+    private static final class Entry {
+        final BudgetAccount account;
+        final AtomicInteger open = new AtomicInteger();
+        /** Whether the account counts against the bound; changed inside atomic updates of its map entry only. */
+        boolean bounded;
+
+        Entry(BudgetAccount account, boolean bounded) {
+            this.account = account;
+            this.bounded = bounded;
+        }
+    }
+
+    AccountTable(Function<String, BudgetAccount> factory) {
+        this.factory = factory;
+    }
+
+    /**
+     * Returns the account for a reservation, which keeps it from being dropped until {@link #reserved}: a request that
+     * drew on a dropped account would spend beside the account that replaces it. Empty if the workspace uses too many
+     * budgets that are not known to exist.
+     */
+    Optional<BudgetAccount> forReservation(String budget) {
+        return Optional.ofNullable(entries.compute(budget, (id, present) -> {
+                    Entry entry = present == null ? create(id) : present;
+                    if (entry != null) {
+                        entry.open.incrementAndGet();
+                    }
+                    return entry;
+                }))
+                .map(e -> e.account);
+    }
+
+    /** Ends the use that {@link #forReservation} began. */
+    void reserved(String budget) {
+        Entry entry = entries.get(budget);
+        if (entry != null) {
+            entry.open.decrementAndGet();
+        }
+    }
+
+    private @Nullable Entry create(String budget) {
+        int colon = budget.indexOf(':');
+        if (colon < 0) {
+            // The first budget of a workspace has the workspace's name, which no caller chooses.
+            return new Entry(factory.apply(budget), false);
+        }
+        String workspace = budget.substring(0, colon);
+        if (unknownByWorkspace.merge(workspace, 1, Integer::sum) > MAX_UNKNOWN_PER_WORKSPACE) {
+            release(budget);
+            return null;
+        }
+        return new Entry(factory.apply(budget), true);
+    }
+
+    private void release(String budget) {
+        String workspace = budget.split(":", 2)[0];
+        unknownByWorkspace.computeIfPresent(workspace, (w, n) -> n > 1 ? n - 1 : null);
+    }
+
+    /** Drops accounts that never held anything and whose record does not exist. */
+    void sweep() {
+        for (String budget : entries.keySet()) {
+            entries.computeIfPresent(budget, (id, entry) -> {
+                boolean drop = entry.open.get() == 0 && entry.account.isUnused();
+                if (entry.bounded && (drop || entry.account.isKnown())) {
+                    entry.bounded = false;
+                    release(id);
+                }
+                return drop ? null : entry;
+            });
+        }
+    }
+
+    Optional<BudgetAccount> get(String budget) {
+        return Optional.ofNullable(entries.get(budget)).map(e -> e.account);
+    }
+
+    Collection<BudgetAccount> all() {
+        return entries.values().stream().map(e -> e.account).toList();
+    }
+
+    void forEach(BiConsumer<String, BudgetAccount> action) {
+        entries.forEach((budget, entry) -> action.accept(budget, entry.account));
+    }
+}
--- a/router/src/main/java/io/hornbeamfield/router/control/internal/AllotmentController.java
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/AllotmentController.java
@@ -8,18 +8,17 @@
 import io.hornbeamfield.router.BudgetService;
 import java.time.Duration;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentHashMap;
 
 /** Keeps the allotments of all budgets that this router draws on. */
 final class AllotmentController implements BudgetService, PeerHandler {
     private static final Duration TICK = Duration.ofSeconds(1);
 
     private final ControlContext context;
-    private final PeerHub peers;
     private final PlatformHealth health = new PlatformHealth();
-    private final Map<String, BudgetAccount> accounts = new ConcurrentHashMap<>();
+    private final AccountTable accounts;
 
     /** A budget in the state dump. */
     record BudgetState(
@@ -33,26 +32,32 @@
 
     AllotmentController(ControlContext context, PeerHub peers) {
         this.context = context;
-        this.peers = peers;
+        this.accounts = new AccountTable(budget -> new BudgetAccount(context, peers, health, budget));
         peers.register(this);
     }
 
     void start() {
-        context.loop().every(TICK, () -> accounts.values().forEach(BudgetAccount::step));
-    }
-
-    private BudgetAccount account(String budget) {
-        return accounts.computeIfAbsent(budget, b -> new BudgetAccount(context, peers, health, b));
+        context.loop().every(TICK, () -> {
+            accounts.all().forEach(BudgetAccount::step);
+            accounts.sweep();
+        });
     }
 
     @Override
     public CompletableFuture<Result<Reservation>> reserve(String budget, long tokens, Duration wait) {
-        return account(budget).reserve(tokens, wait);
+        Optional<BudgetAccount> account = accounts.forReservation(budget);
+        if (account.isEmpty()) {
+            context.count("budgets.tooManyUnknown");
+            return CompletableFuture.completedFuture(Result.refused(new BudgetRefusals(budget).tooManyUnknown()));
+        }
+        CompletableFuture<Result<Reservation>> answer = account.get().reserve(tokens, wait);
+        answer.whenComplete((result, failure) -> accounts.reserved(budget));
+        return answer;
     }
 
     @Override
     public void settle(Reservation reservation, long spentTokens) {
-        account(reservation.budget()).settle(reservation, spentTokens);
+        accounts.get(reservation.budget()).ifPresent(a -> a.settle(reservation, spentTokens));
     }
 
     @Override
@@ -61,19 +66,15 @@
             TransferGrant grant = give(link.peer().incarnation(), request);
             link.send(new PeerMessage.TransferGrant(grant.transferId(), grant.budget(), grant.tokens()));
         } else if (message instanceof PeerMessage.TransferGrant grant) {
-            BudgetAccount account = accounts.get(grant.budget());
-            if (account != null) {
-                account.granted(new TransferGrant(grant.transferId(), grant.budget(), grant.tokens()));
-            }
+            accounts.get(grant.budget())
+                    .ifPresent(a -> a.granted(new TransferGrant(grant.transferId(), grant.budget(), grant.tokens())));
         }
     }
 
     private TransferGrant give(String peer, PeerMessage.TransferRequest request) {
-        BudgetAccount account = accounts.get(request.budget());
-        if (account == null) {
-            return new TransferGrant(request.transferId(), request.budget(), 0);
-        }
-        TransferGrant grant = account.give(peer, request.transferId(), request.tokens());
+        TransferGrant grant = accounts.get(request.budget())
+                .map(a -> a.give(peer, request.transferId(), request.tokens()))
+                .orElseGet(() -> new TransferGrant(request.transferId(), request.budget(), 0));
         if (grant.tokens() > 0) {
             context.count("transfers.given");
         }
@@ -83,7 +84,7 @@
     /** Returns everything to the platform; completes when all entries are folded. */
     CompletableFuture<Void> close() {
         return CompletableFuture.allOf(
-                accounts.values().stream().map(BudgetAccount::close).toArray(CompletableFuture[]::new));
+                accounts.all().stream().map(BudgetAccount::close).toArray(CompletableFuture[]::new));
     }
 
     /** Returns the budgets for the state dump. */
--- a/router/src/main/java/io/hornbeamfield/router/control/internal/BudgetAccount.java
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/BudgetAccount.java
@@ -38,9 +38,13 @@
     /** Requests beyond this number are refused at once while nothing is free, so that they do not occupy the router. */
     private static final int MAX_WAITERS_WITHOUT_FREE = 64;
 
+    /** Keeps the answer that a budget does not exist for repeated requests. */
+    static final Duration UNUSED_AFTER = Duration.ofSeconds(10);
+
     private final ControlContext context;
     private final PlatformHealth health;
     private final Allotment allotment;
+    private final String key;
     private final BudgetRefusals refusals;
     private final DemandRate rate;
     private final BudgetQueue queue = new BudgetQueue();
@@ -63,6 +67,7 @@
         this.context = context;
         this.health = health;
         this.allotment = new Allotment(budget, context.incarnation());
+        this.key = SeenBudget.PREFIX + budget;
         this.refusals = new BudgetRefusals(budget);
         this.rate = new DemandRate(context.loop().clock(), DEMAND_MEMORY);
         this.checkpointAt = context.now();
@@ -236,10 +241,6 @@
         return done;
     }
 
-    private String key() {
-        return SeenBudget.PREFIX + allotment.budget();
-    }
-
     private void called() {
         calling = true;
         callStartedAt = context.now();
@@ -253,7 +254,7 @@
         readAt = context.now();
         context.loop()
                 .onDone(
-                        context.platform().read(key()).thenApply(v -> v.map(this::parse)),
+                        context.platform().read(key).thenApply(v -> v.map(this::parse)),
                         value -> answered(() -> {
                             mustRead = false;
                             confirmed(value);
@@ -270,7 +271,7 @@
         context.count("budgets." + update.kind().name().toLowerCase(Locale.ROOT));
         context.loop()
                 .onDone(
-                        context.platform().write(key(), base.version(), Json.tree(update.record())),
+                        context.platform().write(key, base.version(), Json.tree(update.record())),
                         result -> written(update, result),
                         failure -> written(update, new WriteResult.Unknown(failure.toString())));
     }
@@ -349,8 +350,8 @@
             return Optional.empty();
         }
         boolean emptyRound = transfers.cameBackEmpty(waiter.arrivedAt());
-        boolean decided = emptyRound && (nothingFree || health.isAway());
-        if (!decided && now.isBefore(waiter.arrivedAt().plus(DECISION_TIME))) {
+        if (!(emptyRound && (nothingFree || health.isAway()))
+                && now.isBefore(waiter.arrivedAt().plus(DECISION_TIME))) {
             return Optional.empty();
         }
         return Optional.of(nothingFree && emptyRound ? refusals.exhausted() : refusals.busy());
@@ -358,17 +359,20 @@
 
     private void updateLowWater() {
         SeenBudget s = seen;
-        if (s == null || s.record().free() <= 0) {
-            lowWater = 0;
-            return;
-        }
-        lowWater = BudgetPolicy.of(allotment.budget(), context.blackboard())
-                        .target(
-                                rate,
-                                allotment.available(),
-                                s.record().free(),
-                                s.record().granted())
-                / 2;
+        lowWater = s == null
+                ? 0
+                : BudgetPolicy.of(allotment.budget(), context.blackboard()).lowWater(allotment, rate, s.record());
+    }
+
+    /** Returns whether the record exists or something was held here. */
+    boolean isKnown() {
+        return seen != null || !allotment.isUnused();
+    }
+
+    /** Returns whether the account may be forgotten: nothing was taken and no call or request is open. */
+    boolean isUnused() {
+        boolean open = calling || mustRead || closed != null || queue.size() > 0;
+        return !open && !isKnown() && !transfers.mayReceive() && rate.idleTime().compareTo(UNUSED_AFTER) >= 0;
     }
 
     /**
--- a/router/src/main/java/io/hornbeamfield/router/control/internal/BudgetPolicy.java
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/BudgetPolicy.java
@@ -61,6 +61,11 @@
         return new AllotmentAction.Return(available > 2 * keep ? Math.min(back.tokens(), available - keep) : 0);
     }
 
+    /** Returns the available balance below which a refill is planned, 0 if nothing is free. */
+    long lowWater(Allotment allotment, DemandRate rate, BudgetRecord seen) {
+        return seen.free() <= 0 ? 0 : target(rate, allotment.available(), seen.free(), seen.granted()) / 2;
+    }
+
     /** Returns the number of tokens to aim for. */
     long target(DemandRate rate, long available, long free, long granted) {
         return sizer.target(new SliceDemand(rate.tokensPerSecond(), 0, available, free, granted, liveRouters));
--- a/router/src/main/java/io/hornbeamfield/router/control/internal/BudgetRefusals.java
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/BudgetRefusals.java
@@ -24,6 +24,14 @@
                 ResultCode.NO_BUDGET, "There is no budget \"" + budget + "\". Ask the operator to grant tokens.");
     }
 
+    Refusal tooManyUnknown() {
+        return Refusal.of(
+                        ResultCode.BUDGET_BUSY,
+                        "The workspace asks for too many budgets that do not exist, so the budget \"" + budget
+                                + "\" is not looked up. Use the names of existing budgets.")
+                .retryAfter((int) BudgetAccount.UNUSED_AFTER.toSeconds());
+    }
+
     Refusal leaving() {
         return Refusal.of(ResultCode.LEAVING, "Ask for addresses again and use another router.");
     }
--- a/router/src/main/java/io/hornbeamfield/router/control/internal/TransferRound.java
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/TransferRound.java
@@ -26,6 +26,9 @@
      */
     static final Duration ROUND_PAUSE = Duration.ofMillis(250);
 
+    /** A link whose peer is silent is closed after 4 s; the rest allows for a peer that is paused. */
+    private static final Duration LATE_GRANT = Duration.ofSeconds(60);
+
     private final ControlContext context;
     private final PeerHub peers;
     private final Allotment allotment;
@@ -71,6 +74,11 @@
         context.loop().after(ANSWER_WAIT, wake);
     }
 
+    /** Returns whether a grant of a peer that was asked may still arrive. */
+    boolean mayReceive() {
+        return context.now().isBefore(answerDue.plus(LATE_GRANT));
+    }
+
     /** Returns whether a peer is still to answer. */
     boolean isAsking() {
         return openRequest != null && context.now().isBefore(answerDue);
