--- a/it/src/main/java/io/hornbeamfield/it/fleet/RouterHandle.java
+++ b/it/src/main/java/io/hornbeamfield/it/fleet/RouterHandle.java
@@ -56,8 +56,7 @@
     record Secrets(String platformToken, String operatorToken, String sharedSecret) {}
 
     private ManagedProcess launch(Processes processes) {
-        return processes.start(
-                id, "io.hornbeamfield.router.Main", List.of("--settings", settings.toString()));
+        return processes.start(id, "io.hornbeamfield.router.Main", List.of("--settings", settings.toString()));
     }
 
     /** Starts the instance again, as a new incarnation at the same addresses. */
--- a/it/src/test/java/io/hornbeamfield/it/RacingOperatorsTest.java
+++ b/it/src/test/java/io/hornbeamfield/it/RacingOperatorsTest.java
@@ -42,10 +42,7 @@
                 String wanted = round % 2 == 0 ? "peak" : "ordinary";
                 String grown = "{\"weightStoreLoadsPerMinute\":" + (100 + round) + "}";
                 String file = scenario.fleet
-                        .write(
-                                "change-" + round + ".json",
-                                Json.parse(
-                                        grown.getBytes(StandardCharsets.UTF_8)))
+                        .write("change-" + round + ".json", Json.parse(grown.getBytes(StandardCharsets.UTF_8)))
                         .toString();
                 var one = CompletableFuture.supplyAsync(() -> run("presets", "switch", wanted));
                 var other = CompletableFuture.supplyAsync(() -> run("apply", "-f", file));
