Refuse as busy beyond the waiting requests while tokens are held

Cause: with nothing free and more than 64 waiting requests a router refused with BUDGET_EXHAUSTED, although other routers held tokens that they may return. Change: BUDGET_EXHAUSTED is said only if by the record nobody holds tokens and nothing is reserved here; otherwise the refusal is BUDGET_BUSY with Retry-After. Ruled out: letting more requests wait, because they occupy the router.

--- a/router/src/main/java/io/hornbeamfield/router/control/internal/BudgetAccount.java
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/BudgetAccount.java
@@ -341,11 +341,12 @@
         }
         boolean looked = s != null && !s.at().isBefore(waiter.arrivedAt().minus(LOOK_PERIOD));
         boolean nothingFree = s != null && looked && s.record().free() <= 0;
-        if (s != null
-                && nothingFree
-                && (s.isHeldByNobody(allotment, context.incarnation()) || queue.size() > MAX_WAITERS_WITHOUT_FREE)) {
+        if (s != null && nothingFree && s.isHeldByNobody(allotment, context.incarnation())) {
             return Optional.of(refusals.exhausted());
         }
+        if (nothingFree && queue.size() > MAX_WAITERS_WITHOUT_FREE) {
+            return Optional.of(refusals.busy());
+        }
         if (now.isBefore(waiter.deadline())) {
             return Optional.empty();
         }
--- a/router/src/test/java/io/hornbeamfield/router/control/internal/BudgetTakeTest.java
+++ b/router/src/test/java/io/hornbeamfield/router/control/internal/BudgetTakeTest.java
@@ -101,6 +101,25 @@
         assertThat(granted(after)).isTrue();
     }
 
+    /** "Exhausted" would send callers away for good although the other router may return its tokens. */
+    @Test
+    void requestsBeyondTheWaitingOnesAreBusyWhileAnotherRouterHoldsTokens() {
+        grant(store, 1_000);
+        var held = new TestRouter("b", store, loop).reserve(1_000);
+        loop.run();
+        assertThat(granted(held)).isTrue();
+        List<CompletableFuture<Result<Reservation>>> all = new ArrayList<>();
+        for (int i = 0; i < 100; i++) {
+            all.add(router.reserve(10));
+        }
+        loop.advanceMillis(100);
+        var refused = all.stream()
+                .filter(CompletableFuture::isDone)
+                .map(TestRouter::refusal)
+                .toList();
+        assertThat(refused).isNotEmpty().containsOnly(ResultCode.BUDGET_BUSY);
+    }
+
     @Test
     void theLastTokensServeASmallRequestBehindALargeOne() {
         grant(store, 1_000);
