Ask the owner of a non-repeatable call several times, and refuse hedging

Change: a relay of a non-repeatable call asks the owner up to 5 times, 500 ms apart, within the deadline; hedgeAfterMs must be 0. Ruled out: a longer hello limit (it would delay every take over of a repeatable request by that time). Conclusion: fewer unknown outcomes; a dead owner costs 2 s more.

--- a/core/src/main/java/io/hornbeamfield/core/config/internal/PresetCheck.java
+++ b/core/src/main/java/io/hornbeamfield/core/config/internal/PresetCheck.java
@@ -24,7 +24,8 @@
         errors.requireRange(path + ".maxConcurrent", p.maxConcurrent(), 1, 100_000);
         errors.requireRange(path + ".queueLimit", p.queueLimit(), 0, 1_000_000);
         errors.requireRange(path + ".retryRatio", p.retryRatio(), 0.0, 1.0);
-        errors.requireRange(path + ".hedgeAfterMs", p.hedgeAfterMs(), 0, TEN_MINUTES_MS);
+        // Hedging is not implemented; a value that has no effect would mislead operators.
+        errors.requireRange(path + ".hedgeAfterMs", p.hedgeAfterMs(), 0, 0);
         errors.requireRange(path + ".streamSilenceMs", p.streamSilenceMs(), 100, TEN_MINUTES_MS);
         errors.requireRange(path + ".billWaitMs", p.billWaitMs(), 0, 60_000);
         errors.requireRange(path + ".drainSeconds", p.drainSeconds(), MIN_DRAIN_SECONDS, HOUR_SECONDS);
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/Relay.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/Relay.java
@@ -7,7 +7,9 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
 
 /** Passes a keyed request on to the incarnation that its key names. */
 final class Relay {
@@ -23,6 +25,9 @@
     /** The liveness checks of the relay bound the wait; this limit only frees what a fault left behind. */
     private static final Duration LIMIT = Duration.ofMinutes(15);
 
+    private static final int TRIES_IF_NOT_REPEATABLE = 5;
+    private static final Duration PAUSE_BETWEEN_TRIES = Duration.ofMillis(500);
+
     private final TrafficContext context;
     private final Hello hello;
 
@@ -31,24 +36,39 @@
         this.hello = hello;
     }
 
-    /** Relays the request, or runs the action when the owner cannot be reached and nothing was answered yet. */
+    /**
+     * Relays the request, or runs the action when the owner cannot be reached and nothing was answered yet. Only the
+     * owner can answer a call that may not be repeated, so it is asked several times: one late answer of a busy owner
+     * must not make the outcome unknown.
+     */
     void send(HttpExchange exchange, CallerRequest request, Runnable ifUnreachable) {
         Executor executor = MoreExecutors.newSequentialExecutor(context.pool());
+        int tries = request.work().repeatable() ? 1 : TRIES_IF_NOT_REPEATABLE;
+        executor.execute(() -> reachOwner(exchange, request, executor, ifUnreachable, tries));
+    }
+
+    private void reachOwner(
+            HttpExchange exchange, CallerRequest request, Executor executor, Runnable ifUnreachable, int tries) {
         Optional<String> address = addressOf(request.key().owner());
-        if (address.isEmpty()) {
-            executor.execute(ifUnreachable);
-            return;
-        }
-        hello.ask(address.get(), request.key().owner())
-                .thenAcceptAsync(
-                        reachable -> {
-                            if (reachable) {
-                                open(exchange, request, address.get(), executor, ifUnreachable);
-                            } else {
-                                ifUnreachable.run();
-                            }
-                        },
-                        executor);
+        CompletableFuture<Boolean> answers = address.map(
+                        a -> hello.ask(a, request.key().owner()))
+                .orElseGet(() -> CompletableFuture.completedFuture(false));
+        answers.thenAcceptAsync(
+                reachable -> {
+                    if (reachable) {
+                        open(exchange, request, address.orElseThrow(), executor, ifUnreachable);
+                    } else if (tries > 1 && !request.deadline().hasPassed(context.clock())) {
+                        Runnable again = () -> reachOwner(exchange, request, executor, ifUnreachable, tries - 1);
+                        context.timer()
+                                .schedule(
+                                        () -> executor.execute(again),
+                                        PAUSE_BETWEEN_TRIES.toMillis(),
+                                        TimeUnit.MILLISECONDS);
+                    } else {
+                        ifUnreachable.run();
+                    }
+                },
+                executor);
     }
 
     private Optional<String> addressOf(String incarnation) {
