Use and poll at most 16 servers of a pool at each router

Cause: polling the load of 3,000 servers from each of 420 routers costs 20 KB/s a router, all that control may use, with reports that are 30 s old. Change: BackendSubset chooses 16 servers of a pool by rendezvous hash of router instance and server, half of them of the own zone, at least two zones. Only these are polled and get work; one that got no request for 10 s and answers is polled each 5 s. Servers that leave by configuration or instance list are replaced. The holder of the orders lease also reads the load of the others each 5 s, or slower by 10 ms a server, because it must know which of them lack a model. Ruled out: choosing again when a server reports that it is leaving: the server would no longer be polled and come back as unknown. Cost: a server to which a router sends nothing is known to leave by its own report up to 5 s late. Each subset caches a workspace's prefixes again.

--- a/router/src/main/java/io/hornbeamfield/router/control/internal/BackendController.java
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/BackendController.java
@@ -2,10 +2,10 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.hornbeamfield.core.config.ConfigHead;
-import io.hornbeamfield.core.config.Pool;
 import io.hornbeamfield.core.config.PoolKind;
 import io.hornbeamfield.core.config.Server;
 import io.hornbeamfield.core.config.ServerState;
+import io.hornbeamfield.core.routing.BackendSubset;
 import io.hornbeamfield.core.routing.BackendView;
 import io.hornbeamfield.core.routing.PrefixIndex;
 import io.hornbeamfield.net.http.CallFailure;
@@ -15,6 +15,7 @@
 import io.hornbeamfield.net.json.Json;
 import io.hornbeamfield.router.BackendLoad;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -24,10 +25,14 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
+import org.jspecify.annotations.Nullable;
 
 /**
- * Polls the load and the cache events of backend servers. Which servers may get work is read from the configuration at
- * each question, so that a retirement is in force with the adoption of its revision.
+ * Polls the load and the cache events of the backend servers that this router uses, a subset of each large pool. Which
+ * servers may get work is read from the configuration at each question, so that a retirement is in force with the
+ * adoption of its revision.
  */
 final class BackendController implements BackendLoad {
     static final Duration LOAD_PERIOD = Duration.ofMillis(500);
@@ -36,6 +41,11 @@
     /** A report has about 200 bytes, so that reading all reports takes at most about 20 KB/s. */
     private static final Duration PERIOD_PER_SERVER = Duration.ofMillis(10);
 
+    /** A server without a request of this router for this time is polled less often. */
+    static final Duration IDLE_AFTER = Duration.ofSeconds(10);
+
+    static final Duration IDLE_PERIOD = Duration.ofSeconds(5);
+
     private static final Duration CALL_TIMEOUT = Duration.ofSeconds(2);
 
     private final ControlContext context;
@@ -43,6 +53,11 @@
     private final InstanceListController instances;
     private final PrefixIndex prefixes;
     private final Map<String, ServerEntry> entries = new ConcurrentHashMap<>();
+    private volatile Subsets subsets = new Subsets(null, Set.of(), Map.of());
+    private BooleanSupplier pollsAll = () -> false;
+
+    /** The servers in use by pool, and what they were chosen from. */
+    private record Subsets(@Nullable ConfigHead head, Set<String> leaving, Map<String, Map<String, Server>> byPool) {}
 
     BackendController(ControlContext context, HttpClient http, InstanceListController instances, PrefixIndex prefixes) {
         this.context = context;
@@ -65,7 +80,46 @@
     }
 
     private Map<String, Server> servers(String pool) {
-        return head().map(h -> h.pools().get(pool)).map(Pool::servers).orElse(Map.of());
+        return head().map(h -> subsets(h).byPool().getOrDefault(pool, Map.of())).orElse(Map.of());
+    }
+
+    /** A retirement is in force at once; an entry of the instance list counts from the next poll on. */
+    private Subsets subsets(ConfigHead head) {
+        Subsets present = subsets;
+        if (present.head() == head) {
+            return present;
+        }
+        Subsets chosen = choose(head, leaving(head));
+        subsets = chosen;
+        return chosen;
+    }
+
+    private Set<String> leaving(ConfigHead head) {
+        return head.pools().values().stream()
+                .flatMap(p -> p.servers().keySet().stream())
+                .filter(instances::saysLeaving)
+                .collect(Collectors.toSet());
+    }
+
+    private Subsets choose(ConfigHead head, Set<String> leaving) {
+        Map<String, Map<String, Server>> chosen = new HashMap<>();
+        head.pools().forEach((name, pool) -> chosen.put(name, choose(pool.servers(), leaving)));
+        return new Subsets(head, leaving, chosen);
+    }
+
+    private Map<String, Server> choose(Map<String, Server> pool, Set<String> leaving) {
+        if (pool.size() <= BackendSubset.MAX_SERVERS) {
+            return pool;
+        }
+        Map<String, Server> staying = new HashMap<>(pool);
+        staying.entrySet().removeIf(e -> e.getValue().state() != ServerState.LIVE || leaving.contains(e.getKey()));
+        return BackendSubset.of(
+                context.identity().instanceId(), context.identity().zone(), staying);
+    }
+
+    /** Polls the load of all servers, the ones not in use slowly, while the condition holds. */
+    void pollAllWhile(BooleanSupplier condition) {
+        pollsAll = condition;
     }
 
     private Optional<ConfigHead> head() {
@@ -82,12 +136,15 @@
     /** Returns the entry of a server; a server that moved to another address is a new one. */
     ServerEntry entry(String id, Server server) {
         return entries.compute(
-                id, (k, e) -> e != null && e.address().equals(server.address()) ? e : new ServerEntry(id, server));
+                id,
+                (k, e) -> e != null && e.address().equals(server.address())
+                        ? e
+                        : new ServerEntry(id, server, context.now()));
     }
 
     @Override
     public void sent(String serverId) {
-        Optional.ofNullable(entries.get(serverId)).ifPresent(ServerEntry::sent);
+        Optional.ofNullable(entries.get(serverId)).ifPresent(e -> e.sent(context.now()));
     }
 
     @Override
@@ -102,16 +159,39 @@
     }
 
     private void pollLoads() {
-        Map<String, Server> all = new HashMap<>();
-        head().ifPresent(h -> h.pools().values().forEach(p -> all.putAll(p.servers())));
+        head().ifPresent(this::chooseAgain);
+        Map<String, Server> used = new HashMap<>();
+        subsets.byPool().values().forEach(used::putAll);
+        Map<String, Server> all = new HashMap<>(used);
+        if (pollsAll.getAsBoolean()) {
+            head().ifPresent(h -> h.pools().values().forEach(p -> all.putAll(p.servers())));
+        }
         Set<String> gone = new HashSet<>(entries.keySet());
         gone.removeAll(all.keySet());
         gone.forEach(id -> {
             entries.remove(id);
             prefixes.forget(id);
         });
-        all.forEach((id, server) -> askLoad(id, entry(id, server)));
-        context.loop().after(period(LOAD_PERIOD), this::pollLoads);
+        all.forEach((id, server) -> {
+            ServerEntry entry = entry(id, server);
+            if (isDue(entry, entry.loadAskedAt, used.containsKey(id))) {
+                askLoad(id, entry);
+            }
+        });
+        context.loop().after(LOAD_PERIOD, this::pollLoads);
+    }
+
+    private void chooseAgain(ConfigHead head) {
+        Set<String> leaving = leaving(head);
+        if (subsets.head() != head || !subsets.leaving().equals(leaving)) {
+            subsets = choose(head, leaving);
+        }
+    }
+
+    private boolean isDue(ServerEntry entry, Instant askedAt, boolean inUse) {
+        Instant now = context.now();
+        boolean active = inUse && (entry.failing || entry.isUsedSince(now.minus(IDLE_AFTER)));
+        return !now.isBefore(askedAt.plus(period(active ? Duration.ZERO : IDLE_PERIOD)));
     }
 
     private Duration period(Duration shortest) {
@@ -124,15 +204,18 @@
             return;
         }
         entry.loadAsked = true;
+        entry.loadAskedAt = context.now();
         context.loop()
                 .onDone(
                         get(entry, "/load"),
                         load -> {
                             entry.loadAsked = false;
+                            entry.failing = false;
                             entry.reported(load);
                         },
                         failure -> {
                             entry.loadAsked = false;
+                            entry.failing = true;
                             context.count("backends.loadFailed");
                             if (connectFailed(failure)) {
                                 connectFailed(id);
@@ -149,10 +232,15 @@
     }
 
     private void pollEvents() {
-        head().ifPresent(h -> h.pools().values().stream()
-                .filter(p -> p.kind() == PoolKind.MODEL)
-                .forEach(p -> p.servers().forEach((id, server) -> askEvents(id, entry(id, server)))));
-        context.loop().after(period(EVENTS_PERIOD), this::pollEvents);
+        head().ifPresent(h -> h.pools().entrySet().stream()
+                .filter(p -> p.getValue().kind() == PoolKind.MODEL)
+                .forEach(p -> servers(p.getKey()).forEach((id, server) -> {
+                    ServerEntry entry = entry(id, server);
+                    if (isDue(entry, entry.eventsAskedAt, true)) {
+                        askEvents(id, entry);
+                    }
+                })));
+        context.loop().after(EVENTS_PERIOD, this::pollEvents);
     }
 
     private void askEvents(String id, ServerEntry entry) {
@@ -160,6 +248,7 @@
             return;
         }
         entry.eventsAsked = true;
+        entry.eventsAskedAt = context.now();
         context.loop()
                 .onDone(
                         get(entry, "/cache-events?after=" + entry.eventsRead),
--- a/router/src/main/java/io/hornbeamfield/router/control/internal/OrdersController.java
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/OrdersController.java
@@ -55,6 +55,7 @@
         this.http = http;
         this.backends = backends;
         this.lease = lease;
+        backends.pollAllWhile(lease::mayOrder);
     }
 
     void start() {
--- a/router/src/main/java/io/hornbeamfield/router/control/internal/ServerEntry.java
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/ServerEntry.java
@@ -21,6 +21,13 @@
     private ServerState reported = ServerState.LIVE;
     private boolean reportSeen;
     private Instant suspendedUntil = Instant.MIN;
+    private Instant usedAt;
+    /** When the last load and event calls started; used on the control thread only. */
+    Instant loadAskedAt = Instant.MIN;
+
+    Instant eventsAskedAt = Instant.MIN;
+    /** Whether the last load call failed; used on the control thread only. */
+    boolean failing;
     /** Number of the last cache event that was read; used on the control thread only. */
     long eventsRead;
     /** Whether a load or event call is on its way; used on the control thread only. */
@@ -28,8 +35,9 @@
 
     boolean eventsAsked;
 
-    ServerEntry(String id, Server server) {
+    ServerEntry(String id, Server server, Instant now) {
         this.id = id;
+        this.usedAt = now;
         this.server = server;
     }
 
@@ -49,7 +57,8 @@
         finished = 0;
     }
 
-    synchronized void sent() {
+    synchronized void sent(Instant now) {
+        usedAt = now;
         sent++;
         outstanding++;
     }
@@ -59,6 +68,11 @@
         outstanding = Math.max(0, outstanding - 1);
     }
 
+    /** Returns whether this router has a request there or had one since the given time. */
+    synchronized boolean isUsedSince(Instant start) {
+        return outstanding > 0 || !usedAt.isBefore(start);
+    }
+
     synchronized void suspendUntil(Instant end) {
         suspendedUntil = end;
     }
--- a/router/src/test/java/io/hornbeamfield/router/control/internal/BackendServersTest.java
+++ b/router/src/test/java/io/hornbeamfield/router/control/internal/BackendServersTest.java
@@ -7,10 +7,12 @@
 import io.hornbeamfield.core.config.PoolKind;
 import io.hornbeamfield.core.config.Server;
 import io.hornbeamfield.core.config.ServerState;
+import io.hornbeamfield.core.routing.BackendSubset;
 import io.hornbeamfield.core.routing.BackendView;
 import io.hornbeamfield.core.routing.PrefixIndex;
 import io.hornbeamfield.net.platform.InstanceInfo;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
@@ -81,6 +83,59 @@
         assertThat(candidates()).isEmpty();
     }
 
+    private void configureLargePool() {
+        Map<String, Server> servers = new HashMap<>();
+        for (int i = 0; i < 60; i++) {
+            String address = "10.0.2." + i + ":80";
+            servers.put("s" + i, new Server(address, i % 2 == 0 ? "a" : "b", ServerState.LIVE));
+            load(address, i == 0 ? "\"x\",\"y\"" : "\"x\"", "live");
+        }
+        Pool pool = new Pool(PoolKind.MODEL, List.of("x", "y"), 0, List.of(), true, servers);
+        router.context.blackboard().publishConfig(new ConfigSnapshot(TestRouter.head(2, Map.of("m", pool)), Map.of()));
+    }
+
+    @Test
+    void ofALargePoolOnlyTheSubsetIsPolledAndChosenAndIdleServersSeldom() {
+        configureLargePool();
+        instances.start();
+        backends.start();
+        loop.run();
+        assertThat(candidates()).hasSize(BackendSubset.MAX_SERVERS);
+        assertThat(http.gets.stream().filter(g -> g.endsWith("/load"))).hasSize(BackendSubset.MAX_SERVERS);
+        loop.advance(BackendController.IDLE_AFTER.plusSeconds(1));
+        http.gets.clear();
+        loop.advance(Duration.ofSeconds(10));
+        assertThat(http.gets.stream().filter(g -> g.endsWith("/load"))).hasSize(2 * BackendSubset.MAX_SERVERS);
+        backends.sent(candidates().get(0));
+        http.gets.clear();
+        loop.advance(Duration.ofSeconds(5));
+        assertThat(http.gets.stream().filter(g -> g.endsWith("/load"))).hasSize(10 + BackendSubset.MAX_SERVERS - 1);
+    }
+
+    @Test
+    void aServerThatLeavesALargePoolIsReplaced() {
+        configureLargePool();
+        instances.start();
+        backends.start();
+        loop.run();
+        String leaving = candidates().get(0);
+        store.instances.add(new InstanceInfo(leaving, "engine", "10.0.2.1:80", "a", ServerState.LEAVING));
+        loop.advanceMillis(6_000);
+        assertThat(candidates()).hasSize(BackendSubset.MAX_SERVERS).doesNotContain(leaving);
+    }
+
+    /** The router that orders must know which servers of a large pool lack a model, also those it does not use. */
+    @Test
+    void theHolderOfTheOrdersLeaseKnowsTheModelsOfAllServers() {
+        configureLargePool();
+        candidates().forEach(id -> load("10.0.2." + id.substring(1) + ":80", "\"x\",\"y\"", "live"));
+        instances.start();
+        backends.start();
+        orders.start();
+        loop.advance(Duration.ofSeconds(60));
+        assertThat(http.orders).isNotEmpty();
+    }
+
     @Test
     void theLoadIsCorrectedByOwnRequestsUntilTheNextReport() {
         configure(ServerState.LIVE, List.of("x"));
--- a/router/src/test/java/io/hornbeamfield/router/control/internal/FakeHttp.java
+++ b/router/src/test/java/io/hornbeamfield/router/control/internal/FakeHttp.java
@@ -18,6 +18,7 @@
 final class FakeHttp implements HttpClient {
     final Map<String, String> answers = new HashMap<>();
     final List<String> orders = new ArrayList<>();
+    final List<String> gets = new ArrayList<>();
     int orderStatus = 200;
 
     @Override
@@ -27,6 +28,7 @@
             orders.add(call.uri().getAuthority() + " " + new String(call.body(), UTF_8));
             return CompletableFuture.completedFuture(new HttpReply(orderStatus, Map.of(), new byte[0]));
         }
+        gets.add(place);
         String answer = answers.get(place);
         if (answer == null) {
             return CompletableFuture.failedFuture(new CallFailure(CallFailure.Kind.CONNECT_FAILED, "refused"));
