Spread service calls over idle servers

Cause: DrainedBackendTest saw no call at the first service server: the prefix-aware choice breaks ties by the first prompt prefix, which all service calls lack, so an idle pool sent all of them to one server. Change: service pools use the least-outstanding choice, whose ties rotate. Ruled out: a random tie key for services in the prefix-aware choice.

--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/ServerChoice.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/ServerChoice.java
@@ -11,8 +11,12 @@
 import java.util.Optional;
 import java.util.Set;
 
-/** Chooses the backend server for an attempt among the pools that can run the work. */
-record ServerChoice(Blackboard board, BackendLoad load, BackendChooser chooser, PrefixIndex prefixes) {
+/**
+ * Chooses the backend server for an attempt among the pools that can run the work. Models and plain services have
+ * choosers of their own: calls to services have no prefix, by which idle engines are told apart.
+ */
+record ServerChoice(
+        Blackboard board, BackendLoad load, BackendChooser models, BackendChooser services, PrefixIndex prefixes) {
 
     /** Returns the best server for the work, avoiding those already tried while another one is there. */
     Optional<BackendView> choose(Work work, Set<String> tried) {
@@ -21,6 +25,7 @@
         BackendRequest request = work instanceof Work.Model m
                 ? BackendRequest.forModel(m.model(), m.prefixes())
                 : BackendRequest.forService();
+        BackendChooser chooser = work instanceof Work.Model ? models : services;
         Optional<BackendView> choice = chooser.choose(request.excluding(tried), candidates);
         return choice.isPresent() || tried.isEmpty() ? choice : chooser.choose(request, candidates);
     }
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/TrafficServer.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/TrafficServer.java
@@ -48,7 +48,11 @@
         // In force only between the adoption of the first configuration and the next tick.
         queue.limits(INITIAL_LIMIT, INITIAL_LIMIT, Priority.LOW);
         ServerChoice servers = new ServerChoice(
-                parts.board(), parts.load(), BackendChoosers.prefixAware(parts.prefixes()), parts.prefixes());
+                parts.board(),
+                parts.load(),
+                BackendChoosers.prefixAware(parts.prefixes()),
+                BackendChoosers.leastOutstanding(),
+                parts.prefixes());
         context = new TrafficContext(
                 parts.incarnation(),
                 parts.board(),
--- a/router/src/test/java/io/hornbeamfield/router/traffic/ServiceCallTest.java
+++ b/router/src/test/java/io/hornbeamfield/router/traffic/ServiceCallTest.java
@@ -76,6 +76,25 @@
                 .isEqualTo(1009);
     }
 
+    /** Calls have no prompt prefix; an idle pool must not send all of them to the same server. */
+    @Test
+    void callsAreSpreadOverIdleServers() {
+        List<String> second = new CopyOnWriteArrayList<>();
+        try (HttpServer other = HttpServer.builder()
+                .route("*", "/*", x -> {
+                    second.add(x.path());
+                    x.replyJson(200, "{}".getBytes(UTF_8));
+                })
+                .start()) {
+            router.load.add("fees", "s2", "127.0.0.1:" + other.port());
+            for (int i = 0; i < 12; i++) {
+                router.send(router.post("/v1/services/fees/prices"));
+            }
+        }
+        assertThat(ran).hasSizeBetween(2, 10);
+        assertThat(second).hasSizeBetween(2, 10);
+    }
+
     @Test
     void callThatMustNotRunTwiceNeedsAKey() {
         HttpReply reply = router.send(router.post("/v1/services/fees/orders"));
