Wait for running steps when a router stops at once

Cause: steps of requests still used the HTTP client while it was closed, and logged faults that were none, in the test that loses a router. Change: close stops the executors, waits up to 2 s for running steps, then closes the server.

--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/TrafficServer.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/TrafficServer.java
@@ -1,6 +1,7 @@
 package io.hornbeamfield.router.traffic.internal;
 
 import com.google.common.util.concurrent.ThreadFactoryBuilder;
+import com.google.common.util.concurrent.Uninterruptibles;
 import io.hornbeamfield.core.admission.AdmissionQueue;
 import io.hornbeamfield.core.admission.RetryBudget;
 import io.hornbeamfield.core.config.Priority;
@@ -9,6 +10,7 @@
 import io.hornbeamfield.net.http.HttpServer;
 import io.hornbeamfield.router.traffic.Traffic;
 import io.hornbeamfield.router.traffic.TrafficParts;
+import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.ExecutorService;
@@ -29,6 +31,7 @@
     private static final int DELIVERY_THREADS = 128;
 
     private static final int INITIAL_LIMIT = 64;
+    private static final Duration STOP_LIMIT = Duration.ofSeconds(2);
     private static final int TICK_MS = 100;
     private static final double MAX_RETRIES_IN_A_ROW = 10;
 
@@ -128,9 +131,14 @@
 
     @Override
     public void close() {
-        server.close();
         timer.shutdownNow();
         requests.shutdownNow();
         delivery.shutdownNow();
+        // Steps that run now still use the client, which is closed next.
+        boolean stopped = Uninterruptibles.awaitTerminationUninterruptibly(requests, STOP_LIMIT);
+        if (!stopped) {
+            context.counters().count("stopLimitPassed");
+        }
+        server.close();
     }
 }
