Use one simulated time for both benchmarks

Cause: the policy and the routing benchmark each had an event queue with the same logic in another unit.

--- a/load/src/main/java/io/hornbeamfield/load/policy/SimRouter.java
+++ b/load/src/main/java/io/hornbeamfield/load/policy/SimRouter.java
@@ -54,7 +54,7 @@
     void arrive(Trace.Request request) {
         BudgetAtRouter b = budgets[request.workspace()];
         b.rate.add(request.reserve());
-        var waiting = new BudgetAtRouter.Waiting(request, sim.events().nowMs() + policy.admissionWaitMs());
+        var waiting = new BudgetAtRouter.Waiting(request, sim.events().now() + policy.admissionWaitMs());
         b.waiting.add(waiting);
         b.waitingTokens += request.reserve();
         if (!policy.updatePerRequest()) {
@@ -112,11 +112,11 @@
             updateForRequest(b);
         } else if (!b.known || b.seen.free() > 0) {
             act(b, b.waitingTokens);
-        } else if (!policy.watchWhenEmpty() && sim.events().nowMs() - b.seenAtMs >= REREAD_MS) {
+        } else if (!policy.watchWhenEmpty() && sim.events().now() - b.seenAtMs >= REREAD_MS) {
             read(b);
         }
         boolean empty = cutOff || (b.known && b.seen.free() <= 0);
-        if (policy.transfers() && empty && !b.asking && sim.events().nowMs() >= b.nextPeerRoundMs) {
+        if (policy.transfers() && empty && !b.asking && sim.events().now() >= b.nextPeerRoundMs) {
             b.asking = true;
             askPeer(b, 1, 0);
         }
@@ -139,7 +139,7 @@
             sim.platform().calls++;
             admit(b);
             pump(b);
-        } else if (sim.events().nowMs() - b.seenAtMs >= REREAD_MS) {
+        } else if (sim.events().now() - b.seenAtMs >= REREAD_MS) {
             read(b);
         }
     }
@@ -201,7 +201,7 @@
         b.known = true;
         b.seen = sim.platform().record(b.index);
         b.version = sim.platform().version(b.index);
-        b.seenAtMs = sim.events().nowMs();
+        b.seenAtMs = sim.events().now();
         b.allotment.observe(b.seen, b.version);
         if (policy.watchWhenEmpty() && b.seen.free() <= 0 && !b.watching && inDemand(b)) {
             watch(b);
@@ -239,7 +239,7 @@
         long need = b.smallestLack();
         if (!alive || need <= 0 || distance >= sim.routers().size()) {
             b.asking = false;
-            b.nextPeerRoundMs = sim.events().nowMs() + PEER_ROUND_MS;
+            b.nextPeerRoundMs = sim.events().now() + PEER_ROUND_MS;
             b.scarcity.roundEnded(need, potential + b.allotment.available() + b.allotment.reserved());
             if (alive && need > 0) {
                 refuseHopeless(b);
--- a/load/src/main/java/io/hornbeamfield/load/policy/Simulation.java
+++ b/load/src/main/java/io/hornbeamfield/load/policy/Simulation.java
@@ -1,6 +1,8 @@
 package io.hornbeamfield.load.policy;
 
 import io.hornbeamfield.core.budget.HolderEntry;
+import io.hornbeamfield.load.simulation.SimulatedTime;
+import java.time.temporal.ChronoUnit;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
@@ -18,7 +20,7 @@
     private final SpendPolicy policy;
     private final Scenario scenario;
     private final Trace trace;
-    private final EventQueue events = new EventQueue();
+    private final SimulatedTime events = new SimulatedTime(ChronoUnit.MILLIS);
     private final SimPlatform platform;
     private final List<SimRouter> routers = new ArrayList<>();
     private final List<SimRouter> killed = new ArrayList<>();
@@ -52,7 +54,7 @@
         return new Simulation(deployment, policy, scenario, trace).run();
     }
 
-    EventQueue events() {
+    SimulatedTime events() {
         return events;
     }
 
@@ -163,7 +165,7 @@
     }
 
     void started(SimRouter router, Trace.Request request, Runnable finish) {
-        long now = events.nowMs();
+        long now = events.now();
         BudgetTruth.Run run = new BudgetTruth.Run(router, request, now);
         truths[request.workspace()].running.add(run);
         events.at(now + request.runMs(), () -> {
@@ -171,23 +173,23 @@
             truth.running.remove(run);
             truth.produced(router, request.used());
             truth.overspend = Math.max(truth.overspend, truth.produced - truth.granted);
-            ledgerFlushes.add(events.nowMs() / LEDGER_FLUSH_MS * 64 + router.index);
+            ledgerFlushes.add(events.now() / LEDGER_FLUSH_MS * 64 + router.index);
             finish.run();
         });
     }
 
     void refused(Trace.Request request) {
         refusals++;
-        refusalWaitMs += events.nowMs() - request.atMs();
+        refusalWaitMs += events.now() - request.atMs();
         BudgetTruth truth = truths[request.workspace()];
-        long remaining = truth.remaining(events.nowMs());
+        long remaining = truth.remaining(events.now());
         if (remaining >= request.reserve()) {
             falseRefusals++;
         }
     }
 
     private void topUp(int workspace) {
-        truths[workspace].recordTail(trace.granted()[workspace], events.nowMs());
+        truths[workspace].recordTail(trace.granted()[workspace], events.now());
         grant(workspace, "late", trace.topUps()[workspace]);
     }
 
@@ -208,7 +210,7 @@
         int ranDry = 0;
         long overspend = 0;
         for (int w = 0; w < truths.length; w++) {
-            truths[w].recordTail(trace.granted()[w], events.nowMs());
+            truths[w].recordTail(trace.granted()[w], events.now());
             overspend += Math.max(0, truths[w].overspend);
             if (truths[w].tailUsable >= 0) {
                 usable += truths[w].tailUsable;
--- a/load/src/main/java/io/hornbeamfield/load/routing/EngineModel.java
+++ b/load/src/main/java/io/hornbeamfield/load/routing/EngineModel.java
@@ -1,6 +1,7 @@
 package io.hornbeamfield.load.routing;
 
 import io.hornbeamfield.core.routing.PromptPrefix;
+import io.hornbeamfield.load.simulation.SimulatedTime;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
--- a/load/src/main/java/io/hornbeamfield/load/routing/FleetModel.java
+++ b/load/src/main/java/io/hornbeamfield/load/routing/FleetModel.java
@@ -11,7 +11,9 @@
 import io.hornbeamfield.core.routing.PrefixIndex;
 import io.hornbeamfield.core.routing.RouterDirectory;
 import io.hornbeamfield.core.routing.RouterInfo;
+import io.hornbeamfield.load.simulation.SimulatedTime;
 import java.time.Duration;
+import java.time.temporal.ChronoUnit;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -35,7 +37,7 @@
     private static final long TICK_MICROS = 50_000;
     private static final List<String> ZONES = List.of("a", "b", "c");
 
-    private final SimulatedTime time = new SimulatedTime();
+    private final SimulatedTime time = new SimulatedTime(ChronoUnit.MICROS);
     private final Limits limits;
     private final Random gaps;
     private final Map<String, RouterModel> routers = new TreeMap<>();
@@ -152,7 +154,7 @@
 
         @Override
         public void token(int index) {
-            long now = time.nowMicros();
+            long now = time.now();
             if (index == 0) {
                 result.firstToken(request, now - request.atMicros());
             } else {
@@ -164,7 +166,7 @@
         @Override
         public void finished() {
             if (!ended) {
-                result.finished(request, time.nowMicros());
+                result.finished(request, time.now());
                 end(true);
             }
         }
--- a/load/src/main/java/io/hornbeamfield/load/routing/RouterModel.java
+++ b/load/src/main/java/io/hornbeamfield/load/routing/RouterModel.java
@@ -7,6 +7,7 @@
 import io.hornbeamfield.core.routing.BackendRequest;
 import io.hornbeamfield.core.routing.BackendView;
 import io.hornbeamfield.core.routing.PrefixIndex;
+import io.hornbeamfield.load.simulation.SimulatedTime;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
--- a/load/src/test/java/io/hornbeamfield/load/routing/EngineModelTest.java
+++ b/load/src/test/java/io/hornbeamfield/load/routing/EngineModelTest.java
@@ -3,13 +3,15 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.hornbeamfield.core.routing.PromptPrefix;
+import io.hornbeamfield.load.simulation.SimulatedTime;
+import java.time.temporal.ChronoUnit;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /** Guards against an engine model that gives results no engine could give. */
 class EngineModelTest {
-    private final SimulatedTime time = new SimulatedTime();
+    private final SimulatedTime time = new SimulatedTime(ChronoUnit.MICROS);
     private final List<String> events = new ArrayList<>();
     private final EngineModel engine = new EngineModel(
             time,
@@ -25,13 +27,13 @@
             @Override
             public void token(int index) {
                 if (index == 0) {
-                    firstTokens.add(time.nowMicros());
+                    firstTokens.add(time.now());
                 }
             }
 
             @Override
             public void finished() {
-                ends.add(time.nowMicros());
+                ends.add(time.now());
             }
         });
     }
