--- a/core/src/main/java/io/hornbeamfield/core/routing/PrefixIndex.java
+++ b/core/src/main/java/io/hornbeamfield/core/routing/PrefixIndex.java
@@ -7,9 +7,9 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * What a router believes each backend server has in its prefix cache. Fed by the servers' cache events, which come late
- * and with gaps, and by the requests that this router sends. Thread-safe and bounded per server; the least recently
- * used prefixes are forgotten first.
+ * The prefixes that a router expects in the cache of each backend server. Fed by the servers' cache events, which come
+ * late and with gaps, and by the requests that this router sends. Thread-safe and bounded per server; the least
+ * recently used prefixes are forgotten first.
  *
  * <pre>{@code
  * index.stored("runner-1", 17, "9f2c11d0a4e7b852");
--- a/it/src/test/java/io/hornbeamfield/it/RouterFrozenTest.java
+++ b/it/src/test/java/io/hornbeamfield/it/RouterFrozenTest.java
@@ -11,7 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.TestInstance;
 
-/** Guards against a paused router that resumes and still believes in what others took over meanwhile. */
+/** Guards against a paused router that resumes with state that others have taken over meanwhile. */
 @TestInstance(TestInstance.Lifecycle.PER_CLASS)
 class RouterFrozenTest {
     private final Scenario scenario = Scenario.start(plan -> plan.withEngineOptions(Map.of("token-ms", "8")))
