Take test ports from below the ephemeral range

Change: FreePorts moves from module it to standins and serves both harnesses. Ruled out: a retry of the start (the address is in the peers' settings already). The race needs a busy machine, so one pass is no proof. Conclusion: no probed port lies in the range of outgoing connections.

--- a/it/src/main/java/io/hornbeamfield/it/fleet/Backends.java
+++ b/it/src/main/java/io/hornbeamfield/it/fleet/Backends.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.hornbeamfield.standins.FreePorts;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -28,7 +29,7 @@
     private static Backend start(
             FleetPlan plan, Map.Entry<String, JsonNode> pool, Map.Entry<String, JsonNode> server, Processes processes) {
         boolean model = pool.getValue().path("kind").asText().equals("model");
-        String address = Ports.freeAddress();
+        String address = FreePorts.freeAddress();
         List<String> args = new ArrayList<>(List.of("--address", address));
         if (model) {
             List<String> models = new ArrayList<>();
--- a/it/src/main/java/io/hornbeamfield/it/fleet/Fleet.java
+++ b/it/src/main/java/io/hornbeamfield/it/fleet/Fleet.java
@@ -6,6 +6,7 @@
 import io.hornbeamfield.net.json.Json;
 import io.hornbeamfield.net.platform.HttpPlatformClient;
 import io.hornbeamfield.net.platform.PlatformClient;
+import io.hornbeamfield.standins.FreePorts;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
@@ -36,9 +37,9 @@
     private final FleetPlan plan;
     private final Processes processes = new Processes();
     private final Http http = new Http();
-    private final String platformAddress = Ports.freeAddress();
-    private final String platformControl = Ports.freeAddress();
-    private final String proxyControl = Ports.freeAddress();
+    private final String platformAddress = FreePorts.freeAddress();
+    private final String platformControl = FreePorts.freeAddress();
+    private final String proxyControl = FreePorts.freeAddress();
     private final List<Backend> backends;
     private final List<RouterHandle> routers = new ArrayList<>();
     private final Operator operator;
@@ -124,7 +125,7 @@
     }
 
     private String makeLink(String name, String target, double latencyMs) {
-        String listen = Ports.freeAddress();
+        String listen = FreePorts.freeAddress();
         ObjectNode body = (ObjectNode) Json.tree(Map.of("listen", listen, "target", target));
         body.put("toTargetMs", latencyMs).put("toCallerMs", latencyMs);
         link(name, body.toString());
--- a/it/src/main/java/io/hornbeamfield/it/fleet/RouterHandle.java
+++ b/it/src/main/java/io/hornbeamfield/it/fleet/RouterHandle.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.hornbeamfield.net.json.Json;
+import io.hornbeamfield.standins.FreePorts;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
@@ -13,9 +14,9 @@
 public final class RouterHandle {
     private final String id;
     private final String zone;
-    private final String callerAddress = Ports.freeAddress();
-    private final String peerAddress = Ports.freeAddress();
-    private final String adminAddress = Ports.freeAddress();
+    private final String callerAddress = FreePorts.freeAddress();
+    private final String peerAddress = FreePorts.freeAddress();
+    private final String adminAddress = FreePorts.freeAddress();
     private final Path settings;
     private volatile ManagedProcess process;
 
--- a/router/src/test/java/io/hornbeamfield/router/Fleet.java
+++ b/router/src/test/java/io/hornbeamfield/router/Fleet.java
@@ -21,12 +21,10 @@
 import io.hornbeamfield.net.platform.HttpPlatformClient;
 import io.hornbeamfield.net.platform.WriteResult;
 import io.hornbeamfield.router.control.RouterSettings;
+import io.hornbeamfield.standins.FreePorts;
 import io.hornbeamfield.standins.engine.EngineStandIn;
 import io.hornbeamfield.standins.platform.PlatformStandIn;
 import io.hornbeamfield.standins.service.ServiceStandIn;
-import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -53,9 +51,9 @@
         engine = EngineStandIn.builder().tokenMs(tokenMs).start();
         configure(granted);
         for (int i = 0; i < routerCount; i++) {
-            addresses.add(freeAddress());
-            peers.add(freeAddress());
-            adminAddresses.add(freeAddress());
+            addresses.add(FreePorts.freeAddress());
+            peers.add(FreePorts.freeAddress());
+            adminAddresses.add(FreePorts.freeAddress());
         }
         for (int i = 0; i < routerCount; i++) {
             routers.add(RouterProcess.start(settings(i)));
@@ -87,14 +85,6 @@
                 10_000);
     }
 
-    private static String freeAddress() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return "127.0.0.1:" + socket.getLocalPort();
-        } catch (IOException e) {
-            throw new IllegalStateException("There is no free port.", e);
-        }
-    }
-
     private void configure(long granted) {
         Preset preset =
                 new Preset(60, 0.5, 60, 2_000, 64, 64, 0.5, 0, 400, 2_000, 16, Priority.LOW, StaleConfigPolicy.SERVE);
