Remember demand for a quarter of the horizon in force

Cause: an account forgot demand within 10 s whatever the horizon, while the policy benchmark measured slices with DemandRate.forHorizon. Change: the rate of an account follows the horizon of the preset or workspace in force; DemandRate.useHorizon keeps the rate when the horizon changes. Ruled out: a new DemandRate for each new horizon; it forgets the demand at every switch of the preset. Conclusion: the daemon sizes slices as the benchmark does.

--- a/core/src/main/java/io/hornbeamfield/core/budget/AllotmentPlanner.java
+++ b/core/src/main/java/io/hornbeamfield/core/budget/AllotmentPlanner.java
@@ -15,9 +15,12 @@
  * }</pre>
  */
 public final class AllotmentPlanner {
-    // A refill costs one or two platform calls. Refilling at a half cost 24.5 calls per 1,000 requests in the policy
-    // benchmark, at a quarter 19.1; transfers from peers help while the refill is under way.
-    private static final double REFILL_BELOW = 0.25;
+    /**
+     * The part of the target below which a refill is planned. A refill costs one or two platform calls. Refilling at a
+     * half cost 24.5 calls per 1,000 requests in the policy benchmark, at a quarter 19.1; transfers from peers help
+     * while the refill is under way.
+     */
+    public static final double REFILL_BELOW = 0.25;
 
     private final SliceSizer sizer;
     private final Duration idleReturn;
--- a/core/src/main/java/io/hornbeamfield/core/budget/DemandRate.java
+++ b/core/src/main/java/io/hornbeamfield/core/budget/DemandRate.java
@@ -9,7 +9,7 @@
     private static final double SHORTEST_PART = 1 / 8.0;
 
     private final Clock clock;
-    private final double timeConstantSeconds;
+    private double timeConstantSeconds;
     private final Instant created;
     private Instant updated;
     private Instant lastDemand;
@@ -29,7 +29,21 @@
      * benchmark with a horizon of 600 s, a tenth cost 18% to 26% more platform calls and a half brought no gain.
      */
     public static DemandRate forHorizon(Clock clock, Duration horizon) {
-        return new DemandRate(clock, horizon.dividedBy(4));
+        return new DemandRate(clock, timeConstant(horizon));
+    }
+
+    private static Duration timeConstant(Duration horizon) {
+        return horizon.dividedBy(4);
+    }
+
+    /** Uses the horizon of a newly adopted configuration from now on; the rate at this moment stays the same. */
+    public synchronized void useHorizon(Duration horizon) {
+        double seconds = timeConstant(horizon).toNanos() / 1e9;
+        if (seconds != timeConstantSeconds) {
+            double now = tokensPerSecond();
+            timeConstantSeconds = seconds;
+            rate = now * coveredPart();
+        }
     }
 
     /** Counts tokens that a request asked for, whether it was admitted or not. */
@@ -45,8 +59,12 @@
      */
     public synchronized double tokensPerSecond() {
         decay();
+        return rate / coveredPart();
+    }
+
+    private double coveredPart() {
         double age = Math.max(seconds(created, updated) / timeConstantSeconds, SHORTEST_PART);
-        return rate / -Math.expm1(-age);
+        return -Math.expm1(-age);
     }
 
     /** Returns the time since the last demand, or since creation if there was none. */
--- a/router/src/main/java/io/hornbeamfield/router/control/internal/BudgetAccount.java
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/BudgetAccount.java
@@ -26,7 +26,6 @@
  * {@link #reserve} and {@link #settle} are callable from any thread, everything else runs on the control thread.
  */
 final class BudgetAccount {
-    private static final Duration DEMAND_MEMORY = Duration.ofSeconds(10);
     /** Shortest time between two looks at a record that has nothing free; a top-up is seen within this time. */
     private static final Duration LOOK_PERIOD = Duration.ofMillis(250);
     /** Time in which the platform and a round of peers answer, granted also to requests that may not wait. */
@@ -69,7 +68,9 @@
         this.allotment = new Allotment(budget, context.incarnation());
         this.key = SeenBudget.PREFIX + budget;
         this.refusals = new BudgetRefusals(budget);
-        this.rate = new DemandRate(context.loop().clock(), DEMAND_MEMORY);
+        this.rate = DemandRate.forHorizon(
+                context.loop().clock(),
+                BudgetPolicy.of(budget, context.blackboard()).horizon());
         this.checkpointAt = context.now();
         this.transfers = new TransferRound(context, peers, allotment, this::step);
     }
@@ -127,9 +128,11 @@
     /** Does what is possible now. Called again after every event and by timers. */
     void step() {
         stepQueued.set(false);
+        BudgetPolicy policy = BudgetPolicy.of(allotment.budget(), context.blackboard());
+        rate.useHorizon(policy.horizon());
         queue.serve(allotment);
         if (!calling && !context.now().isBefore(retryAt)) {
-            callPlatform();
+            callPlatform(policy);
         }
         if (queue.size() == 0) {
             transfers.satisfied();
@@ -140,7 +143,8 @@
         if (refused > 0) {
             context.metrics().counter("control.budgets.refused").inc(refused);
         }
-        updateLowWater();
+        SeenBudget s = seen;
+        lowWater = s == null ? 0 : policy.lowWater(allotment, rate, s.record());
     }
 
     /**
@@ -164,7 +168,7 @@
         return Duration.between(callStartedAt, context.now());
     }
 
-    private void callPlatform() {
+    private void callPlatform(BudgetPolicy policy) {
         SeenBudget s = seen;
         if (closed != null) {
             close(s);
@@ -175,7 +179,7 @@
                 read();
             }
         } else {
-            act(s, BudgetPolicy.of(allotment.budget(), context.blackboard()));
+            act(s, policy);
         }
     }
 
@@ -358,13 +362,6 @@
         return Optional.of(nothingFree && emptyRound ? refusals.exhausted() : refusals.busy());
     }
 
-    private void updateLowWater() {
-        SeenBudget s = seen;
-        lowWater = s == null
-                ? 0
-                : BudgetPolicy.of(allotment.budget(), context.blackboard()).lowWater(allotment, rate, s.record());
-    }
-
     /** Returns whether the record exists or something was held here. */
     boolean isKnown() {
         return seen != null || !allotment.isUnused();
--- a/router/src/test/java/io/hornbeamfield/router/control/internal/TestRouter.java
+++ b/router/src/test/java/io/hornbeamfield/router/control/internal/TestRouter.java
@@ -53,8 +53,24 @@
 
     /** A valid head; a budget is drawn on in slices of at most half of what is free. */
     static ConfigHead head(long revision, Map<String, Pool> pools) {
+        return head(revision, pools, 60);
+    }
+
+    static ConfigHead head(long revision, Map<String, Pool> pools, long horizonSeconds) {
         Preset p = new Preset(
-                60, 0.5, 30, 1_000, 100, 100, 0.1, 0, 5_000, 1_000, 20, Priority.LOW, StaleConfigPolicy.SERVE);
+                horizonSeconds,
+                0.5,
+                30,
+                1_000,
+                100,
+                100,
+                0.1,
+                0,
+                5_000,
+                1_000,
+                20,
+                Priority.LOW,
+                StaleConfigPolicy.SERVE);
         Map<String, Preset> presets = Map.of("ordinary", p, "peak", p, "maintenance", p);
         return new ConfigHead(revision, "ordinary", presets, pools, Map.of(), 6);
     }
