Decide scarce transfers and early refusals by Scarcity

Cause: of two routers that lacked tokens, the rendezvous order decided which gave, so a rest could go to the router that lacked more; a request that all routers together could not cover waited the whole admissionWaitMs. Change: Scarcity decides who gives. TransferGrant carries what the sender has available or reserved after the grant. A request is refused once two rounds in a row, the last one ended while it waited, found that all routers together cannot cover it. A silent or older peer, a known router that was not asked, or free tokens make the sum unknown. A round always asks for what the smallest request lacks. Ruled out: counting a missing field as 0 (an older peer would cause false refusals); counting holders of the record that are no known routers (a killed router's entry would end early refusal until its release).

--- a/net/src/main/java/io/hornbeamfield/net/peer/PeerMessage.java
+++ b/net/src/main/java/io/hornbeamfield/net/peer/PeerMessage.java
@@ -7,6 +7,7 @@
 import io.hornbeamfield.core.config.ServerState;
 import io.hornbeamfield.core.config.WorkspaceShard;
 import java.util.Map;
+import org.jspecify.annotations.Nullable;
 
 /**
  * A message between routers. Unknown fields are ignored, so that routers of different versions can be linked while a
@@ -52,6 +53,13 @@
     /** Asks for tokens of a budget. */
     record TransferRequest(String transferId, String budget, long tokens) implements PeerMessage {}
 
-    /** Hands over tokens that the sender has debited already; 0 tokens means that there is nothing to transfer. */
-    record TransferGrant(String transferId, String budget, long tokens) implements PeerMessage {}
+    /**
+     * Hands over tokens that the sender has debited already; 0 tokens means that there is nothing to transfer. Held is
+     * what the sender has available or reserved after that; a sender of an older version does not state it.
+     */
+    record TransferGrant(
+            String transferId,
+            String budget,
+            long tokens,
+            @Nullable Long held) implements PeerMessage {}
 }
--- a/router/src/main/java/io/hornbeamfield/router/control/internal/AllotmentController.java
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/AllotmentController.java
@@ -63,17 +63,19 @@
     @Override
     public void received(PeerLink link, PeerMessage message) {
         if (message instanceof PeerMessage.TransferRequest request) {
-            TransferGrant grant = give(link.peer().incarnation(), request);
-            link.send(new PeerMessage.TransferGrant(grant.transferId(), grant.budget(), grant.tokens()));
+            TransferGrant grant = give(request);
+            long held = accounts.get(grant.budget()).map(BudgetAccount::held).orElse(0L);
+            link.send(new PeerMessage.TransferGrant(grant.transferId(), grant.budget(), grant.tokens(), held));
         } else if (message instanceof PeerMessage.TransferGrant grant) {
             accounts.get(grant.budget())
-                    .ifPresent(a -> a.granted(new TransferGrant(grant.transferId(), grant.budget(), grant.tokens())));
+                    .ifPresent(a -> a.granted(
+                            new TransferGrant(grant.transferId(), grant.budget(), grant.tokens()), grant.held()));
         }
     }
 
-    private TransferGrant give(String peer, PeerMessage.TransferRequest request) {
+    private TransferGrant give(PeerMessage.TransferRequest request) {
         TransferGrant grant = accounts.get(request.budget())
-                .map(a -> a.give(peer, request.transferId(), request.tokens()))
+                .map(a -> a.give(request.transferId(), request.tokens()))
                 .orElseGet(() -> new TransferGrant(request.transferId(), request.budget(), 0));
         if (grant.tokens() > 0) {
             context.count("transfers.given");
--- a/router/src/main/java/io/hornbeamfield/router/control/internal/BudgetAccount.java
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/BudgetAccount.java
@@ -9,7 +9,6 @@
 import io.hornbeamfield.core.budget.TransferGrant;
 import io.hornbeamfield.core.result.Refusal;
 import io.hornbeamfield.core.result.Result;
-import io.hornbeamfield.core.routing.Rendezvous;
 import io.hornbeamfield.net.json.Json;
 import io.hornbeamfield.net.platform.VersionedValue;
 import io.hornbeamfield.net.platform.WriteResult;
@@ -137,7 +136,7 @@
         if (queue.size() == 0) {
             transfers.satisfied();
         } else if (queue.need() > allotment.available() && platformCannotHelp()) {
-            transfers.ask(transferTokens(), Optional.ofNullable(seen));
+            transfers.ask(lack(), Optional.ofNullable(seen));
         }
         int refused = queue.refuse(this::refusal);
         if (refused > 0) {
@@ -147,15 +146,9 @@
         lowWater = s == null ? 0 : policy.lowWater(allotment, rate, s.record());
     }
 
-    /**
-     * While the platform is away, one transfer covers all waiting requests and the next seconds. At the end of a budget
-     * only what the smallest request lacks is asked for, so that the rest is not drawn back and forth.
-     */
-    private long transferTokens() {
-        if (health.isAway()) {
-            return queue.need() - allotment.available() + (long) (2 * rate.tokensPerSecond());
-        }
-        return Math.max(1, queue.smallest() - allotment.available());
+    /** Returns what the smallest waiting request lacks, 0 if none waits. */
+    private long lack() {
+        return Math.max(0, queue.smallest() - Math.max(0, allotment.available()));
     }
 
     private boolean platformCannotHelp() {
@@ -351,10 +344,13 @@
         if (nothingFree && queue.size() > MAX_WAITERS_WITHOUT_FREE) {
             return Optional.of(refusals.busy());
         }
+        boolean emptyRound = transfers.cameBackEmpty(waiter.arrivedAt());
+        if (nothingFree && !health.isAway() && !transfers.mayCover(waiter)) {
+            return Optional.of(emptyRound ? refusals.exhausted() : refusals.busy());
+        }
         if (now.isBefore(waiter.deadline())) {
             return Optional.empty();
         }
-        boolean emptyRound = transfers.cameBackEmpty(waiter.arrivedAt());
         if (!(emptyRound && (nothingFree || health.isAway()))
                 && now.isBefore(waiter.arrivedAt().plus(DECISION_TIME))) {
             return Optional.empty();
@@ -373,25 +369,22 @@
         return !open && !isKnown() && !transfers.mayReceive() && rate.idleTime().compareTo(UNUSED_AFTER) >= 0;
     }
 
-    /**
-     * Debits tokens for a peer; returns a grant of 0 tokens if there are none. What is available while own requests
-     * wait is too little for each of them. It is given away if the peer comes first in the order of the budget, or if
-     * it serves the peer at once: otherwise routers with waiting requests would all keep a rest that is of no use. A
-     * router that is asking itself gives only in the order of the budget, so that two routers do not swap their rests.
-     */
-    TransferGrant give(String peer, String transferId, long tokens) {
-        boolean first = Rendezvous.weight(allotment.budget(), peer)
-                > Rendezvous.weight(allotment.budget(), context.incarnation());
-        boolean serves = tokens <= allotment.available() && !transfers.isAsking();
-        if (closed != null || (queue.size() > 0 && !first && !serves)) {
+    /** Debits tokens for a peer; returns a grant of 0 tokens if there are none or own requests need them more. */
+    TransferGrant give(String transferId, long tokens) {
+        if (closed != null || !transfers.gives(lack(), tokens)) {
             return new TransferGrant(transferId, allotment.budget(), 0);
         }
         return allotment.sendTransfer(transferId, tokens).orElse(new TransferGrant(transferId, allotment.budget(), 0));
     }
 
-    /** Credits tokens of a peer. */
-    void granted(TransferGrant grant) {
-        transfers.granted(grant);
+    /** Returns the tokens that this router has available or reserved. */
+    long held() {
+        return Math.max(0, allotment.available() + allotment.reserved());
+    }
+
+    /** Credits tokens of a peer, which states what it still holds. */
+    void granted(TransferGrant grant, @Nullable Long heldByPeer) {
+        transfers.granted(grant, heldByPeer);
         step();
     }
 }
--- a/router/src/main/java/io/hornbeamfield/router/control/internal/TransferRound.java
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/TransferRound.java
@@ -1,7 +1,9 @@
 package io.hornbeamfield.router.control.internal;
 
 import io.hornbeamfield.core.budget.Allotment;
+import io.hornbeamfield.core.budget.Scarcity;
 import io.hornbeamfield.core.budget.TransferGrant;
+import io.hornbeamfield.core.routing.RouterInfo;
 import io.hornbeamfield.net.peer.PeerLink;
 import io.hornbeamfield.net.peer.PeerMessage;
 import java.time.Duration;
@@ -33,12 +35,16 @@
     private final PeerHub peers;
     private final Allotment allotment;
     private final Runnable wake;
+    private final Scarcity scarcity = new Scarcity();
     private final Set<String> asked = new HashSet<>();
     private @Nullable String openRequest;
     private Instant answerDue = Instant.MIN;
     private Instant nextRoundAt = Instant.MIN;
     private Instant completedAt = Instant.MIN;
     private boolean gaveSome;
+    /** What the peers of this round still hold, null once a peer did not state it. */
+    private @Nullable Long heldByPeers = 0L;
+
     private boolean lastRoundGave;
     private long requests;
 
@@ -55,12 +61,15 @@
         if (isAsking() || now.isBefore(nextRoundAt)) {
             return;
         }
-        openRequest = null;
+        if (openRequest != null) {
+            heldByPeers = null;
+            openRequest = null;
+        }
         Optional<PeerLink> next = peers.links().stream()
                 .filter(link -> !asked.contains(link.peer().incarnation()))
                 .max(Comparator.comparingLong(link -> heldBy(link, seen)));
         if (next.isEmpty()) {
-            roundCompleted(now);
+            roundCompleted(now, tokens, seen);
             return;
         }
         asked.add(next.get().peer().incarnation());
@@ -89,7 +98,9 @@
                 .orElse(0L);
     }
 
-    private void roundCompleted(Instant now) {
+    private void roundCompleted(Instant now, long lack, Optional<SeenBudget> seen) {
+        scarcity.roundEnded(lack, potential(seen));
+        heldByPeers = 0L;
         completedAt = now;
         lastRoundGave = gaveSome;
         gaveSome = false;
@@ -100,20 +111,51 @@
         context.loop().after(pause, wake);
     }
 
+    /** Returns what all routers together hold, the largest number if that is not known. */
+    private long potential(Optional<SeenBudget> seen) {
+        Long others = heldByPeers;
+        boolean nothingFree = seen.map(s -> s.record().free() <= 0).orElse(false);
+        if (others == null || !nothingFree || !allRoutersAsked()) {
+            return Long.MAX_VALUE;
+        }
+        return others + Math.max(0, allotment.available() + allotment.reserved());
+    }
+
+    private boolean allRoutersAsked() {
+        return context.blackboard().routers().stream()
+                .map(RouterInfo::incarnation)
+                .allMatch(i -> i.equals(context.incarnation()) || asked.contains(i));
+    }
+
     /** Ends the round because no request waits any more; the next need starts with the largest holder at once. */
     void satisfied() {
         asked.clear();
         gaveSome = false;
+        heldByPeers = 0L;
+        // The findings of past rounds do not count for requests that come later.
+        scarcity.roundEnded(0, Long.MAX_VALUE);
+        scarcity.potentialUnknown();
+    }
+
+    /** Returns whether a peer that lacks tokens gets them although own requests may lack some, too. */
+    boolean gives(long ownLack, long askedFor) {
+        return scarcity.gives(ownLack, askedFor);
+    }
+
+    /** Returns whether all routers together may cover a request, by the rounds up to one that ended while it waited. */
+    boolean mayCover(BudgetWaiter waiter) {
+        return completedAt.isBefore(waiter.arrivedAt()) || scarcity.mayCover(waiter.tokens());
     }
 
-    /** Credits an answer. */
-    void granted(TransferGrant grant) {
+    /** Credits an answer of a peer, which states what it still holds. */
+    void granted(TransferGrant grant, @Nullable Long heldByPeer) {
         if (allotment.receiveTransfer(grant)) {
             gaveSome = true;
             context.count("transfers.received");
         }
         if (grant.transferId().equals(openRequest)) {
             openRequest = null;
+            heldByPeers = heldByPeers == null || heldByPeer == null ? null : Long.valueOf(heldByPeers + heldByPeer);
         }
     }
 
