--- a/it/src/main/java/io/hornbeamfield/it/fleet/ManagedProcess.java
+++ b/it/src/main/java/io/hornbeamfield/it/fleet/ManagedProcess.java
@@ -54,6 +54,16 @@
         }
     }
 
+    /** Returns the id of the process. */
+    public long pid() {
+        return process.pid();
+    }
+
+    /** Returns the processor time that the process has used. */
+    public Duration processorTime() {
+        return process.info().totalCpuDuration().orElse(Duration.ZERO);
+    }
+
     /** Returns the name. */
     public String name() {
         return name;
