Log an unreadable ledger object once

Cause: LedgerTest printed the same error line at every attempt, dozens of times; log lines are for changes of state. Change: LedgerReader decodes the batch of a conflict for both its users, counts control.ledger.unreadable and logs each object once. Before/after: the line appears once in LedgerTest; 10 of 10 tests pass. Conclusion: done.

--- a/router/src/main/java/io/hornbeamfield/router/control/internal/LedgerController.java
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/LedgerController.java
@@ -115,7 +115,7 @@
     }
 
     private void written(PendingWrite write, WriteResult result) {
-        Optional<LedgerBatch> stored = Takeover.stored(result);
+        Optional<LedgerBatch> stored = reader.stored(result);
         if (result instanceof WriteResult.Applied) {
             context.metrics()
                     .counter("control.ledger.records")
--- a/router/src/main/java/io/hornbeamfield/router/control/internal/LedgerReader.java
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/LedgerReader.java
@@ -5,11 +5,17 @@
 import io.hornbeamfield.net.json.Json;
 import io.hornbeamfield.net.platform.ObjectPage;
 import io.hornbeamfield.net.platform.VersionedValue;
+import io.hornbeamfield.net.platform.WriteResult;
+import java.io.UncheckedIOException;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import org.jboss.logging.Logger;
 
 /**
  * Reads the ledgers of other incarnations. Stored batches never change, so that those read once are kept: after the
@@ -20,7 +26,10 @@
     /** About 10 MB at 200 bytes a record. The ledger that was not used for longest is dropped first. */
     private static final int MAX_KEPT_RECORDS = 50_000;
 
+    private static final Logger LOG = Logger.getLogger(LedgerReader.class);
+
     private final ControlContext context;
+    private final Set<String> unreadable = new HashSet<>();
     private final Map<String, List<LedgerBatch>> kept = new LinkedHashMap<>(16, 0.75f, true);
 
     LedgerReader(ControlContext context) {
@@ -70,4 +79,27 @@
             oldest.remove();
         }
     }
+
+    /**
+     * Returns the batch that a conflict shows, empty if there is none or if it cannot be read. An unreadable object is
+     * logged once, because writers try again until it is corrected.
+     */
+    Optional<LedgerBatch> stored(WriteResult result) {
+        if (!(result instanceof WriteResult.Conflict conflict)
+                || conflict.current().isEmpty()) {
+            return Optional.empty();
+        }
+        VersionedValue value = conflict.current().get();
+        try {
+            LedgerBatch batch = Json.read(value.value(), LedgerBatch.class);
+            unreadable.remove(value.key());
+            return Optional.of(batch);
+        } catch (UncheckedIOException e) {
+            context.count("ledger.unreadable");
+            if (unreadable.add(value.key())) {
+                LOG.errorf("The ledger object %s cannot be read. Bills wait until it is corrected.", value.key());
+            }
+            return Optional.empty();
+        }
+    }
 }
--- a/router/src/main/java/io/hornbeamfield/router/control/internal/Takeover.java
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/Takeover.java
@@ -5,18 +5,13 @@
 import io.hornbeamfield.core.ledger.TakeoverProcess;
 import io.hornbeamfield.core.ledger.TakeoverStep;
 import io.hornbeamfield.net.json.Json;
-import io.hornbeamfield.net.platform.VersionedValue;
 import io.hornbeamfield.net.platform.WriteResult;
-import java.io.UncheckedIOException;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.function.Consumer;
-import org.jboss.logging.Logger;
 
 /** Runs one {@link TakeoverProcess} against the platform, with new attempts until it has ended. */
 final class Takeover {
-    private static final Logger LOG = Logger.getLogger(Takeover.class);
-
     private final ControlContext context;
     private final LedgerReader reader;
     private final TakeoverProcess process;
@@ -64,7 +59,7 @@
     }
 
     private void created(WriteResult result) {
-        Optional<LedgerBatch> stored = stored(result);
+        Optional<LedgerBatch> stored = reader.stored(result);
         if (result instanceof WriteResult.Applied) {
             context.count("ledger.takeovers");
             process.applied();
@@ -78,21 +73,6 @@
         proceed();
     }
 
-    /** Returns the batch that a conflict shows, empty if there is none or if it cannot be read. */
-    static Optional<LedgerBatch> stored(WriteResult result) {
-        if (!(result instanceof WriteResult.Conflict conflict)
-                || conflict.current().isEmpty()) {
-            return Optional.empty();
-        }
-        VersionedValue value = conflict.current().get();
-        try {
-            return Optional.of(Json.read(value.value(), LedgerBatch.class));
-        } catch (UncheckedIOException e) {
-            LOG.errorf("The ledger object %s cannot be read. Bills wait until it is corrected.", value.key());
-            return Optional.empty();
-        }
-    }
-
     private void retry() {
         context.count("ledger.takeoverRetries");
         context.loop().after(backoff.failed(), this::proceed);
