Give every refusal of a large body its number

Cause: a body above 4 MB was refused by the HTTP layer with a 413 without a result code, against the rule that each refusal has one. Change: ProblemDetails moves from the router to net.http; the server answers 1006 TOO_LARGE with ran: no. Ruled out: a second renderer in the HTTP layer. Before/after: HttpTest now asks for the number and passes; InputCheckTest passes unchanged. Conclusion: done.

--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/Problems.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/ProblemDetails.java
@@ -1,25 +1,32 @@
-package io.hornbeamfield.router.traffic.internal;
+package io.hornbeamfield.net.http;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.hornbeamfield.core.result.Refusal;
-import io.hornbeamfield.net.http.HttpExchange;
 import io.hornbeamfield.net.json.Json;
 import java.util.HashMap;
 import java.util.Map;
 
-/** Writes refusals as numbered problem details. */
-final class Problems {
-    private Problems() {}
+/**
+ * Writes refusals as problem details (RFC 9457) with their number and whether the request ran.
+ *
+ * <pre>{@code
+ * ProblemDetails.reply(exchange, Refusal.of(ResultCode.UNKNOWN_POOL, "There is no pool \"fees\"."));
+ * }</pre>
+ */
+public final class ProblemDetails {
+    private ProblemDetails() {}
 
-    static void reply(HttpExchange exchange, Refusal refusal) {
+    /** Answers an exchange with a refusal. */
+    public static void reply(HttpExchange exchange, Refusal refusal) {
         Map<String, String> headers = new HashMap<>();
         headers.put("Content-Type", "application/problem+json");
         refusal.retryAfterSeconds().ifPresent(s -> headers.put("Retry-After", Integer.toString(s)));
         exchange.reply(refusal.code().httpStatus(), headers, Json.bytes(tree(refusal)));
     }
 
-    static ObjectNode tree(Refusal refusal) {
+    /** Returns a refusal as a JSON object. */
+    public static ObjectNode tree(Refusal refusal) {
         ObjectNode node = JsonNodeFactory.instance.objectNode();
         node.put("type", "https://hornbeamfield.io/codes/" + refusal.code().number());
         node.put("title", refusal.code().title());
--- a/net/src/main/java/io/hornbeamfield/net/http/internal/GrizzlyHttpServer.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/GrizzlyHttpServer.java
@@ -1,6 +1,9 @@
 package io.hornbeamfield.net.http.internal;
 
+import io.hornbeamfield.core.result.Refusal;
+import io.hornbeamfield.core.result.ResultCode;
 import io.hornbeamfield.net.http.HttpServer;
+import io.hornbeamfield.net.http.ProblemDetails;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.List;
@@ -78,7 +81,11 @@
 
         private void dispatch(GrizzlyExchange exchange) {
             if (exchange.bodyTooLarge()) {
-                exchange.replyJson(413, Replies.error("The body is larger than " + MAX_BODY_BYTES + " bytes."));
+                ProblemDetails.reply(
+                        exchange,
+                        Refusal.of(
+                                ResultCode.TOO_LARGE,
+                                "The body is larger than " + MAX_BODY_BYTES + " bytes. Send a smaller request."));
                 return;
             }
             for (Route route : routes) {
--- a/net/src/test/java/io/hornbeamfield/net/http/HttpTest.java
+++ b/net/src/test/java/io/hornbeamfield/net/http/HttpTest.java
@@ -62,12 +62,13 @@
     }
 
     @Test
-    void bodyOverTheLimitIsRefused() {
+    void bodyOverTheLimitIsRefusedWithItsNumber() {
         HttpReply reply = client.send(HttpCall.post(url("/echo"))
                         .body(new byte[HttpServer.MAX_BODY_BYTES + 1])
                         .build())
                 .join();
         assertThat(reply.status()).isEqualTo(413);
+        assertThat(reply.text()).contains("\"code\":1006", "\"ran\":\"no\"");
     }
 
     @Test
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/CallerApi.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/CallerApi.java
@@ -8,6 +8,7 @@
 import io.hornbeamfield.net.http.HttpExchange;
 import io.hornbeamfield.net.http.HttpHandler;
 import io.hornbeamfield.net.http.HttpServer;
+import io.hornbeamfield.net.http.ProblemDetails;
 import io.hornbeamfield.net.json.Json;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -45,7 +46,7 @@
                 handler.handle(exchange);
             } catch (Checked e) {
                 context.counters().refused(e.refusal().code());
-                Problems.reply(exchange, e.refusal());
+                ProblemDetails.reply(exchange, e.refusal());
             }
         };
     }
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/StreamSink.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/StreamSink.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.hornbeamfield.net.http.HttpExchange;
+import io.hornbeamfield.net.http.ProblemDetails;
 import io.hornbeamfield.net.http.ResponseStream;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -63,10 +64,11 @@
     private void refuse(AnswerEnd.Refused refused) {
         ResponseStream s = stream;
         if (s == null) {
-            Problems.reply(exchange, refused.refusal());
+            ProblemDetails.reply(exchange, refused.refusal());
             return;
         }
-        s.write(("event: error\ndata: " + Problems.tree(refused.refusal()) + "\n\n").getBytes(StandardCharsets.UTF_8));
+        s.write(("event: error\ndata: " + ProblemDetails.tree(refused.refusal()) + "\n\n")
+                .getBytes(StandardCharsets.UTF_8));
         s.end();
     }
 
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/WholeSink.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/WholeSink.java
@@ -1,6 +1,7 @@
 package io.hornbeamfield.router.traffic.internal;
 
 import io.hornbeamfield.net.http.HttpExchange;
+import io.hornbeamfield.net.http.ProblemDetails;
 import io.hornbeamfield.net.json.Json;
 import java.util.List;
 import java.util.Map;
@@ -43,7 +44,7 @@
                     Map.of("Content-Type", service.contentType(), CallerHeaders.KEY, id),
                     service.body());
         } else if (end instanceof AnswerEnd.Refused refused) {
-            Problems.reply(exchange, refused.refusal());
+            ProblemDetails.reply(exchange, refused.refusal());
         }
     }
 }
