Keep missing servers while the store is away, and avoid replaced ones

All announcements had lapsed while the store was down; it returned, the instances lost it again 1.1 s later, and the missing servers were dropped without a further answer from the store. Before that, two servers had crashed and others answered at their addresses: their health checks passed, each request that went there got 421 and used up repeats. Change: a missing server is dropped only when a list read after its grace does not name it. A 421 suspends the server, and a health check counts only if the expected server answers it. Ruled out: dropping at once on 421; the store may be away, and the entry is the only thing that names the server's successor.

--- a/core/src/main/java/io/hornbeamfield/core/discovery/BackendDirectory.java
+++ b/core/src/main/java/io/hornbeamfield/core/discovery/BackendDirectory.java
@@ -8,11 +8,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * The announced backend servers. Announcements lapse while the platform's store is away, although the servers live: an
  * entry that is missing when the store returns is kept for {@link #RETURN_GRACE_MS} so that its server can announce
- * itself again. Not thread-safe.
+ * itself again, and dropped when a list read after that does not name it. Not thread-safe.
  *
  * <pre>{@code
  * directory.storeReturned();
@@ -23,17 +24,21 @@
 public final class BackendDirectory {
     /**
      * A server that really leaves must get no request 2 s after the store accepted that. This is that time less the
-     * delay of the announcement and of {@link #dropMissing}.
+     * delay of the announcement and of the list that {@link #confirmationDue} asks for.
      */
     public static final long LONGEST_KEEP_MS = 1_400;
 
     /** Living servers announce themselves again within about two seconds of the store's return. */
     public static final long RETURN_GRACE_MS = 2_000;
 
+    /** A single failed call is repeated within some hundred ms; it must not prolong the time that a server is kept. */
+    private static final long SHORTEST_OUTAGE_MS = 1_000;
+
     private final Clock clock;
     private final Map<String, BackendServer> servers = new HashMap<>();
     private final Map<String, Long> dropAtMs = new HashMap<>();
     private boolean storeAway;
+    private long awaySinceMs;
     private long graceEndsMs = Long.MIN_VALUE;
 
     public BackendDirectory(Clock clock) {
@@ -42,14 +47,21 @@
 
     /** Records that the store does not answer. */
     public void storeLost() {
-        storeAway = true;
+        if (!storeAway) {
+            storeAway = true;
+            awaySinceMs = clock.millis();
+        }
     }
 
-    /** Records that the store answers again. */
+    /** Records that the store answers. After an outage the servers that are missing are kept for a whole grace. */
     public void storeReturned() {
         if (storeAway) {
             storeAway = false;
-            graceEndsMs = clock.millis() + RETURN_GRACE_MS;
+            long now = clock.millis();
+            graceEndsMs = now + RETURN_GRACE_MS;
+            if (now - awaySinceMs >= SHORTEST_OUTAGE_MS) {
+                dropAtMs.replaceAll((id, at) -> now + LONGEST_KEEP_MS);
+            }
         }
     }
 
@@ -84,11 +96,22 @@
         return keep;
     }
 
-    /** Drops the servers that are still missing. To be called a few times a second. Returns their ids. */
-    public List<String> dropMissing() {
+    /**
+     * Returns whether the grace of a missing server has ended, so that a list from the store must confirm that it is
+     * gone. An instance that loses the store again within the grace cannot tell a gone server from a living one whose
+     * announcement it has not seen; it keeps both until the store answers.
+     */
+    public boolean confirmationDue() {
+        long now = clock.millis();
+        return !storeAway && dropAtMs.values().stream().anyMatch(at -> at <= now);
+    }
+
+    /** Drops the servers whose grace has ended and that a complete list does not name. Returns their ids. */
+    public List<String> confirm(Collection<BackendServer> listed) {
         long now = clock.millis();
+        Set<String> ids = listed.stream().map(BackendServer::id).collect(Collectors.toSet());
         List<String> dropped = dropAtMs.entrySet().stream()
-                .filter(e -> e.getValue() <= now)
+                .filter(e -> e.getValue() <= now && !ids.contains(e.getKey()))
                 .map(Map.Entry::getKey)
                 .toList();
         dropped.forEach(id -> {
--- a/entry/src/main/java/io/hornbeamfield/entry/control/BackendController.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/BackendController.java
@@ -5,22 +5,30 @@
 import io.hornbeamfield.entry.Blackboard;
 import io.hornbeamfield.entry.EventLog;
 import io.hornbeamfield.platform.BackendDecoder;
+import io.hornbeamfield.platform.StoreClient;
 import io.hornbeamfield.platform.StoreList;
 import io.hornbeamfield.platform.StoreObject;
 import io.hornbeamfield.platform.WatchReply;
 import java.time.Clock;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.stream.Collectors;
+import org.jspecify.annotations.Nullable;
 
 /** Publishes the backend servers that take new requests. */
 final class BackendController implements KindFollower.Listener {
+    private final StoreClient store;
+    private final ScheduledExecutorService control;
     private final BackendDirectory directory;
     private final Blackboard blackboard;
     private final EventLog log;
+    private boolean confirming;
 
-    BackendController(Clock clock, Blackboard blackboard, EventLog log) {
+    BackendController(
+            StoreClient store, ScheduledExecutorService control, Clock clock, Blackboard blackboard, EventLog log) {
+        this.store = store;
+        this.control = control;
         this.directory = new BackendDirectory(clock);
         this.blackboard = blackboard;
         this.log = log;
@@ -28,10 +36,7 @@
 
     @Override
     public void onList(StoreList list) {
-        List<BackendServer> servers = new ArrayList<>();
-        for (StoreObject o : list.objects()) {
-            BackendDecoder.decode(o).ifPresent(servers::add);
-        }
+        List<BackendServer> servers = decode(list);
         directory.replaceAll(servers);
         log.event("servers-listed")
                 .field("count", servers.size())
@@ -40,6 +45,13 @@
         publish();
     }
 
+    private static List<BackendServer> decode(StoreList list) {
+        return list.objects().stream()
+                .map(BackendDecoder::decode)
+                .flatMap(Optional::stream)
+                .toList();
+    }
+
     @Override
     public void onChange(WatchReply.Change change) {
         Optional<BackendServer> server = change.removed() ? Optional.empty() : BackendDecoder.decode(change.object());
@@ -69,12 +81,28 @@
         }
     }
 
-    /** Drops servers whose announcement did not come back. To be called a few times a second. */
+    /** Asks the store about servers whose announcement did not come back. To be called a few times a second. */
     void tick() {
-        List<String> dropped = directory.dropMissing();
+        if (!confirming && directory.confirmationDue()) {
+            confirming = true;
+            store.list(StoreClient.BACKEND_SERVERS).whenCompleteAsync(this::confirm, control);
+        }
+    }
+
+    private void confirm(@Nullable StoreList list, @Nullable Throwable failure) {
+        confirming = false;
+        if (list == null) {
+            log.event("servers-unconfirmed")
+                    .field("reason", String.valueOf(failure))
+                    .write();
+            directory.storeLost();
+            return;
+        }
+        List<String> dropped = directory.confirm(decode(list));
         if (!dropped.isEmpty()) {
             log.event("servers-dropped")
                     .field("servers", String.join(",", dropped))
+                    .field("revision", list.revision())
                     .write();
             publish();
         }
--- a/entry/src/main/java/io/hornbeamfield/entry/control/Control.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/Control.java
@@ -51,7 +51,7 @@
         this.executor = executor;
         StoreClient store = new StoreClient(http, settings.storeAddress(), STORE_TIMEOUT);
         prepaid = new PrepaidController(store, executor, book, log, endedHolders(settings, book), waiters);
-        backends = new BackendController(clock, blackboard, log);
+        backends = new BackendController(store, executor, clock, blackboard, log);
         configs = new KindFollower(
                 store,
                 StoreClient.CONFIGURATION,
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
@@ -13,6 +13,7 @@
 import io.hornbeamfield.net.relay.InboundRequest;
 import io.hornbeamfield.net.relay.OutboundRequest;
 import io.hornbeamfield.platform.RequestHead;
+import io.hornbeamfield.platform.Wire;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
@@ -225,9 +226,7 @@
         cancel(silence);
         boolean mayHaveRun = end != AttemptEnd.NOT_CONNECTED && end != AttemptEnd.DECLINED;
         possibleRuns += mayHaveRun ? 1 : 0;
-        if (end == AttemptEnd.NOT_CONNECTED || end == AttemptEnd.BROKEN) {
-            suspectServer(ended, end, reason);
-        }
+        suspectServer(ended, end, reason);
         NextStep step = AttemptPolicy.next(end, stateAfter(end));
         if (step != NextStep.DELIVER || end != AttemptEnd.ANSWERED) {
             parts.log()
@@ -260,11 +259,11 @@
                 route.repeat(), possibleRuns, route.maxAttempts(), started, timeLeft && serverLeft, allowed);
     }
 
+    /** Avoids a server that cannot be reached, or whose address belongs to another one by now. */
     private void suspectServer(Attempt ended, AttemptEnd end, String reason) {
-        if (end == AttemptEnd.NOT_CONNECTED && reason.contains("connections are in use")) {
-            return;
-        }
-        if (end == AttemptEnd.NOT_CONNECTED) {
+        boolean unreachable = end == AttemptEnd.NOT_CONNECTED && !reason.contains("connections are in use");
+        boolean replaced = end == AttemptEnd.DECLINED && ended.status() == Wire.WRONG_SERVER;
+        if (unreachable || replaced) {
             parts.links()
                     .suspend(ended.link(), spec.map(ServiceSpec::healthPath).orElse("/"), reason);
         }
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerLinks.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerLinks.java
@@ -9,6 +9,7 @@
 import io.hornbeamfield.net.relay.OutboundListener;
 import io.hornbeamfield.net.relay.OutboundRequest;
 import io.hornbeamfield.net.relay.RelayTransport;
+import io.hornbeamfield.platform.Wire;
 import java.time.Clock;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -124,6 +125,7 @@
         private @Nullable OutboundConnection connection;
         private boolean done;
         private int status;
+        private String answeredBy = "";
 
         HealthCheck(ServerLink link, String path) {
             this.link = link;
@@ -149,6 +151,7 @@
         @Override
         public void onHead(int answerStatus, List<Header> headers) {
             status = answerStatus;
+            answeredBy = Header.find(headers, Wire.SERVER_ID).orElse("");
         }
 
         @Override
@@ -158,7 +161,9 @@
 
         @Override
         public void onEnd(boolean reusable) {
-            finish(status == OK, "status " + status);
+            // The address of a server that has ended may already belong to another one.
+            boolean other = !answeredBy.isEmpty() && !answeredBy.equals(link.server().id());
+            finish(status == OK && !other, other ? "answered by " + answeredBy : "status " + status);
         }
 
         @Override
--- a/entry/src/test/java/io/hornbeamfield/entry/EntryRelayTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/EntryRelayTest.java
@@ -95,6 +95,24 @@
         assertThat(first.arrivals()).isNotEmpty();
     }
 
+    /**
+     * Failure seen on scale-1 of quabbin: two servers had crashed while the store was down, others answered at their
+     * addresses, and their health checks made the instances send there again and again until no repeat was left.
+     */
+    @Test
+    void aServerWhoseAddressBelongsToAnotherOneGetsNoFurtherRequests() throws InterruptedException {
+        RunnerStandIn replaced = fleet.runner("i-1", "plain");
+        fleet.runner("i-2", "plain");
+        fleet.configure(1);
+        fleet.startReady();
+        replaced.becomes("i-9");
+        for (int i = 0; i < 12; i++) {
+            assertThat(fleet.call("POST", "/write/x").all()).contains("done by i-2");
+            Thread.sleep(100);
+        }
+        assertThat(replaced.arrivals()).hasSize(1);
+    }
+
     @Test
     void anAnswerToAnotherRequestIsNotPassedOn() {
         fleet.runner("i-1", "plain")
