Let a quorum of witnesses prove what an instance used

Cause: a limit counted only when both of an instance's two witnesses knew it. Change: up to seven witnesses; a limit counts when n - answers + 1 of them know it, and answers = (n + 3) / 3 of them prove it after the holder's end. Answers are combined against the witnesses that the ledger names at the time of the write. The search of budgets now checks what each ended holder is charged, and finds readers that trust one witness of many. An instance that had received more than it used told a negative limit, its acknowledgement was lost, and a witness without one counts as knowing 0. Limits are now never negative. Ruled out: leaving the limits when the store is lost; a cut witness could still answer with an old one.

--- a/core/src/main/java/io/hornbeamfield/core/prepaid/PrepaidAccount.java
+++ b/core/src/main/java/io/hornbeamfield/core/prepaid/PrepaidAccount.java
@@ -113,12 +113,15 @@
         return waitingSizes.isEmpty() ? 0 : Math.max(0, waitingSizes.firstKey() - free());
     }
 
-    /** Returns a limit that lets the requests that wait start, and some more. */
+    /**
+     * Returns a limit that lets the requests that wait start, and some more. It is never negative, although an instance
+     * that received more than it used has a negative use: a witness that was told nothing counts as knowing 0.
+     */
     long wantedLimit(long extra, long nowMs, int instances) {
         double ahead = Math.min(
                 demand.perSecond(nowMs, instances) * HoldPolicy.LIMIT_AHEAD_SECONDS,
                 total * HoldPolicy.LIMIT_AHEAD_SHARE);
-        return net() + waiting + extra + (long) ahead;
+        return Math.max(0, net() + waiting + extra + (long) ahead);
     }
 
     /** Returns whether a request waits that the holdings cover and the limit does not. */
--- a/core/src/main/java/io/hornbeamfield/core/prepaid/WitnessedLimits.java
+++ b/core/src/main/java/io/hornbeamfield/core/prepaid/WitnessedLimits.java
@@ -1,5 +1,6 @@
 package io.hornbeamfield.core.prepaid;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -7,12 +8,12 @@
 
 /**
  * Limits of what this instance uses of its holdings, known to other instances, its witnesses. When this instance ends
- * without giving its holdings back, one witness suffices to free what it cannot have used. The ledger names the
- * witnesses; a limit counts when all of them know it. Not thread-safe.
+ * without giving its holdings back, some of them suffice to free what it cannot have used. The ledger names the
+ * witnesses; a limit counts when a quorum of them knows it. Not thread-safe.
  */
 final class WitnessedLimits {
     private Set<String> registered = Set.of();
-    private Set<String> proposed = Set.of();
+    private final Set<Set<String>> proposed = new HashSet<>();
     private final Map<String, Map<String, Long>> known = new HashMap<>();
 
     /** Records that a witness knows limits; a smaller limit than before changes nothing. */
@@ -23,23 +24,21 @@
 
     /** Records the witnesses that a write to the ledger names. Until its outcome is known, the old ones count too. */
     void propose(Set<String> witnesses) {
-        Set<String> all = new HashSet<>(proposed);
-        all.addAll(witnesses);
-        proposed = Set.copyOf(all);
+        proposed.add(Set.copyOf(witnesses));
     }
 
     /** Takes over the witnesses that the ledger names; a write in progress is resolved by it. */
     void registered(Set<String> witnesses, boolean writesResolved) {
         registered = Set.copyOf(witnesses);
         if (writesResolved) {
-            proposed = Set.of();
+            proposed.clear();
         }
     }
 
-    /** Returns the witnesses that must know a limit. */
+    /** Returns the witnesses to tell a limit to. */
     Set<String> all() {
         Set<String> all = new HashSet<>(registered);
-        all.addAll(proposed);
+        proposed.forEach(all::addAll);
         return all;
     }
 
@@ -47,17 +46,25 @@
         return registered;
     }
 
-    /** Returns the most that may be used if the given instances were the witnesses. */
+    /** Returns the most that may be used if the given instances were the witnesses; without any there is no limit. */
     long limitOf(Set<String> witnesses, String workspace) {
-        long least = Long.MAX_VALUE;
-        for (String w : witnesses) {
-            least = Math.min(least, known.getOrDefault(w, Map.of()).getOrDefault(workspace, 0L));
+        if (witnesses.isEmpty()) {
+            return Long.MAX_VALUE;
         }
-        return least;
+        return witnesses.stream()
+                .map(w -> known.getOrDefault(w, Map.of()).getOrDefault(workspace, 0L))
+                .sorted(Comparator.reverseOrder())
+                .skip(WitnessQuorum.acknowledgements(witnesses.size()) - 1L)
+                .findFirst()
+                .orElse(0L);
     }
 
-    /** Returns the most that may be used; without witnesses there is no limit. */
+    /** Returns the most that may be used, whichever witnesses the ledger names. */
     long limit(String workspace) {
-        return limitOf(all(), workspace);
+        long least = limitOf(registered, workspace);
+        for (Set<String> p : proposed) {
+            least = Math.min(least, limitOf(p, workspace));
+        }
+        return least;
     }
 }
--- a/core/src/test/java/io/hornbeamfield/core/prepaid/PrepaidBookTest.java
+++ b/core/src/test/java/io/hornbeamfield/core/prepaid/PrepaidBookTest.java
@@ -179,6 +179,17 @@
         assertThat(book.tryReserve("plots", 100)).isTrue();
     }
 
+    /**
+     * Failure found by the search, seed 10510: a witness kept the limit -218 of an instance that had received 218
+     * tokens, its acknowledgement was lost, and the instance counted it as 0 and used 158 of them.
+     */
+    @Test
+    void anInstanceThatReceivedMoreThanItUsedHasNoNegativeLimit() {
+        total(1_000_000);
+        book.receive("plots", 218);
+        assertThat(book.wantedLimit("plots", 0)).isZero();
+    }
+
     @Test
     void witnessesThatDoNotKnowThePresentUseAreNotNamed() {
         total(1_000_000);
--- a/core/src/test/java/io/hornbeamfield/core/prepaid/PrepaidFleetSearchTest.java
+++ b/core/src/test/java/io/hornbeamfield/core/prepaid/PrepaidFleetSearchTest.java
@@ -23,11 +23,16 @@
 final class PrepaidFleetSearchTest {
     private static final int SCHEDULES = 20_000;
     private static final int STEPS = 150;
-    private static final int INSTANCES = 4;
+    private static final int LONG_SCHEDULES = 4_000;
+    private static final int LONG_STEPS = 800;
+    private static final int INSTANCES = 6;
 
     /** Runs out within a schedule. */
     private static final long SMALL_TOTAL = 4_000;
 
+    /** Runs out within a long schedule. */
+    private static final long MEDIUM_TOTAL = 30_000;
+
     /** A few hundred times a request, as on today's deployments. */
     private static final long LARGE_TOTAL = 100_000;
 
@@ -39,6 +44,18 @@
             World world = new World(seed, false, SMALL_TOTAL);
             world.run();
             assertThat(world.spent).as("seed %d", seed).isLessThanOrEqualTo(world.total);
+            assertThat(world.undercharged).as("seed %d", seed).isEmpty();
+        }
+    }
+
+    /** Witnesses matter once they have been named and told limits, so these schedules are longer. */
+    @Test
+    void noLongScheduleSpendsMoreThanTheTotal() {
+        for (int seed = 0; seed < LONG_SCHEDULES; seed++) {
+            World world = new World(seed, false, MEDIUM_TOTAL);
+            world.runLong();
+            assertThat(world.spent).as("seed %d", seed).isLessThanOrEqualTo(world.total);
+            assertThat(world.undercharged).as("seed %d", seed).isEmpty();
         }
     }
 
@@ -53,6 +70,18 @@
         assertThat(found).isTrue();
     }
 
+    @Test
+    void theSearchFindsReadersThatTrustOneWitnessOfMany() {
+        boolean found = false;
+        for (int seed = 0; seed < LONG_SCHEDULES && !found; seed++) {
+            World world = new World(seed, false, MEDIUM_TOTAL);
+            world.needsQuorum = false;
+            world.runLong();
+            found = !world.undercharged.isEmpty();
+        }
+        assertThat(found).isTrue();
+    }
+
     @Test
     void withoutFailuresNearlyAllOfATotalCanBeSpent() {
         World world = new World(1, false, LARGE_TOTAL);
@@ -75,10 +104,14 @@
         private long revision = 1;
         private long total;
         private long spent;
+        private final Map<String, Long> usedNet = new HashMap<>();
+        private final List<String> undercharged = new ArrayList<>();
         private int incarnations;
         private boolean failures = true;
+        private boolean needsQuorum = true;
 
-        private record LateWrite(PrepaidLedger next, long condition) {}
+        /** @param leaving the holder that returns all with this write, if one does */
+        private record LateWrite(PrepaidLedger next, long condition, Optional<String> leaving) {}
 
         World(int seed, boolean trustsUnconfirmed, long total) {
             this.total = total;
@@ -101,6 +134,12 @@
             }
         }
 
+        void runLong() {
+            for (int i = 0; i < LONG_STEPS; i++) {
+                step();
+            }
+        }
+
         void step() {
             clock.advance(Duration.ofMillis(random.nextInt(400)));
             Node node = nodes.get(random.nextInt(INSTANCES));
@@ -131,7 +170,7 @@
 
         private void write(Node node) {
             Optional<PrepaidLedger> next = node.book.plan(node.seen, node.revision, node.ended());
-            next.ifPresent(n -> send(node, n));
+            next.ifPresent(n -> send(node, n, Optional.empty()));
         }
 
         private void leave(Node node) {
@@ -141,11 +180,11 @@
                 node.seen = ledger;
             }
             PrepaidLedger next = node.book.planReturnOfAll(node.seen, node.revision);
-            send(node, next);
+            send(node, next, Optional.of(node.book.holder()));
             nodes.set(node.index, start(node.index));
         }
 
-        private void send(Node node, PrepaidLedger next) {
+        private void send(Node node, PrepaidLedger next, Optional<String> leaving) {
             if (trustsUnconfirmed) {
                 node.book.observed(next, revision + 1);
             }
@@ -154,10 +193,10 @@
                 return;
             }
             if (fate == 1) {
-                late.add(new LateWrite(next, node.revision));
+                late.add(new LateWrite(next, node.revision, leaving));
                 return;
             }
-            boolean applied = apply(next, node.revision);
+            boolean applied = apply(next, node.revision, leaving);
             boolean answered = fate != 2;
             if (answered) {
                 node.revision = revision;
@@ -169,10 +208,20 @@
             }
         }
 
-        private boolean apply(PrepaidLedger next, long condition) {
+        private boolean apply(PrepaidLedger next, long condition, Optional<String> leaving) {
             if (condition != revision) {
                 return false;
             }
+            Set<String> folded = new HashSet<>(ledger.holders());
+            folded.removeAll(next.holders());
+            leaving.ifPresent(folded::add);
+            long used =
+                    folded.stream().mapToLong(h -> usedNet.getOrDefault(h, 0L)).sum();
+            long charged =
+                    next.takenBy(WORKSPACE, PrepaidLedger.ENDED) - ledger.takenBy(WORKSPACE, PrepaidLedger.ENDED);
+            if (charged < used) {
+                undercharged.add("charged " + charged + " for " + used + " at revision " + revision + ": " + folded);
+            }
             ledger = next;
             revision++;
             return true;
@@ -181,7 +230,7 @@
         private void applyLate() {
             if (!late.isEmpty()) {
                 LateWrite w = late.remove(random.nextInt(late.size()));
-                apply(w.next(), w.condition());
+                apply(w.next(), w.condition(), w.leaving());
             }
         }
 
@@ -191,6 +240,7 @@
             private final PrepaidBook book;
             private final Map<String, Map<String, Long>> kept = new HashMap<>();
             private final Set<String> closed = new HashSet<>();
+            private final Map<String, Map<String, Map<String, Long>>> answers = new HashMap<>();
             private PrepaidLedger seen = PrepaidLedger.empty();
             private long revision = 1;
 
@@ -214,14 +264,21 @@
                 return list;
             }
 
+            /** Asks some of the witnesses; what they answered is kept and may be used with a later ledger. */
             private Optional<Map<String, Long>> askWitnesses(String holder) {
+                Map<String, Map<String, Long>> known = answers.computeIfAbsent(holder, h -> new HashMap<>());
                 for (Node n : nodes) {
-                    if (seen.witnessesOf(holder).contains(n.book.holder()) && n.kept.containsKey(holder)) {
+                    boolean asked = seen.witnessesOf(holder).contains(n.book.holder()) && random.nextInt(3) > 0;
+                    if (asked && n.kept.containsKey(holder)) {
                         n.closed.add(holder);
-                        return Optional.of(Map.copyOf(n.kept.get(holder)));
+                        known.put(n.book.holder(), Map.copyOf(n.kept.get(holder)));
                     }
                 }
-                return Optional.empty();
+                if (!needsQuorum) {
+                    return known.values().stream().findFirst();
+                }
+                return EndedHolder.fromAnswers(holder, seen.witnessesOf(holder), known)
+                        .flatMap(EndedHolder::limits);
             }
 
             /** Tells the given instances this one's limits; messages and acknowledgements get lost. */
@@ -243,7 +300,7 @@
 
             void chooseWitnesses() {
                 Set<String> chosen = new HashSet<>();
-                int count = random.nextInt(3);
+                int count = random.nextInt(INSTANCES);
                 while (chosen.size() < count) {
                     Node n = nodes.get(random.nextInt(INSTANCES));
                     if (n != this) {
@@ -259,6 +316,7 @@
                     long used = 1 + random.nextLong(tokens);
                     book.settle(WORKSPACE, tokens, used);
                     spent += used;
+                    usedNet.merge(book.holder(), used, Long::sum);
                 } else {
                     book.startWaiting(WORKSPACE, tokens);
                     if (book.limitShort(WORKSPACE)) {
@@ -275,8 +333,10 @@
                     tell(book.witnesses(), Map.of(WORKSPACE, book.wantedLimit(WORKSPACE, wanted)));
                 }
                 long given = book.give(WORKSPACE, wanted);
+                usedNet.merge(book.holder(), given, Long::sum);
                 if (!lost) {
                     other.book.receive(WORKSPACE, given);
+                    usedNet.merge(other.book.holder(), -given, Long::sum);
                 }
             }
         }
--- /dev/null
+++ b/core/src/test/java/io/hornbeamfield/core/prepaid/WitnessQuorumTest.java
@@ -0,0 +1,73 @@
+package io.hornbeamfield.core.prepaid;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Guards against answers that miss a limit that was used, and against a quorum that a few failures take away. */
+final class WitnessQuorumTest {
+    private static final int MANY = 40;
+
+    @Test
+    void theAnswersAlwaysContainAWitnessThatAcknowledged() {
+        for (int n = 1; n < MANY; n++) {
+            int both = WitnessQuorum.answers(n) + WitnessQuorum.acknowledgements(n);
+            assertThat(both).as("%d witnesses", n).isGreaterThan(n);
+            assertThat(WitnessQuorum.answers(n)).isBetween(1, n);
+            assertThat(WitnessQuorum.acknowledgements(n)).isBetween(1, n);
+        }
+    }
+
+    /** Load pattern: five of eight instances are killed at once; of the seven others of each, three are left. */
+    @Test
+    void threeOfSevenWitnessesKnowWhatAnInstanceUsed() {
+        Map<String, Map<String, Long>> answers =
+                Map.of("a", Map.of("plots", 100L), "b", Map.of("plots", 700L), "c", Map.of());
+        Set<String> witnesses = Set.of("a", "b", "c", "d", "e", "f", "g");
+
+        Optional<EndedHolder> ended = EndedHolder.fromAnswers("x", witnesses, answers);
+
+        assertThat(ended.orElseThrow().used("plots", 5_000)).isEqualTo(700);
+    }
+
+    @Test
+    void answersOfTooFewWitnessesOrOfOtherInstancesProveNothing() {
+        Set<String> witnesses = Set.of("a", "b", "c", "d", "e", "f", "g");
+        Map<String, Map<String, Long>> answers = Map.of("a", Map.of(), "b", Map.of(), "z", Map.of());
+
+        assertThat(EndedHolder.fromAnswers("x", witnesses, answers)).isEmpty();
+        assertThat(EndedHolder.fromAnswers("x", Set.of(), answers)).isEmpty();
+    }
+
+    /** Failure seen on scale-1 of quabbin: an instance without the store stopped serving when one witness was gone. */
+    @Test
+    void aLimitCountsWhileTwoOfSevenWitnessesAreSilent() {
+        WitnessedLimits limits = new WitnessedLimits();
+        Set<String> witnesses = Set.of("a", "b", "c", "d", "e", "f", "g");
+        limits.registered(witnesses, true);
+        for (String w : Set.of("a", "b", "c", "d")) {
+            limits.acknowledged(w, Map.of("plots", 900L));
+        }
+        assertThat(limits.limit("plots")).isZero();
+        limits.acknowledged("e", Map.of("plots", 800L));
+        assertThat(limits.limit("plots")).isEqualTo(800);
+    }
+
+    @Test
+    void untilAWriteIsResolvedTheLimitHoldsForTheOldWitnessesAndTheNew() {
+        WitnessedLimits limits = new WitnessedLimits();
+        limits.registered(Set.of("a"), true);
+        limits.acknowledged("a", Map.of("plots", 900L));
+        limits.propose(Set.of("b", "c"));
+        limits.acknowledged("b", Map.of("plots", 500L));
+        assertThat(limits.limit("plots")).isZero();
+        limits.acknowledged("c", Map.of("plots", 600L));
+        assertThat(limits.limit("plots")).isEqualTo(500);
+        limits.registered(Set.of("b", "c"), true);
+        assertThat(limits.limit("plots")).isEqualTo(500);
+        assertThat(limits.all()).containsExactlyInAnyOrder("b", "c");
+    }
+}
--- a/entry/src/main/java/io/hornbeamfield/entry/control/BackendController.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/BackendController.java
@@ -7,7 +7,6 @@
 import io.hornbeamfield.platform.BackendDecoder;
 import io.hornbeamfield.platform.StoreClient;
 import io.hornbeamfield.platform.StoreList;
-import io.hornbeamfield.platform.StoreObject;
 import io.hornbeamfield.platform.WatchReply;
 import java.time.Clock;
 import java.util.List;
--- a/entry/src/main/java/io/hornbeamfield/entry/control/PrepaidController.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/PrepaidController.java
@@ -1,5 +1,6 @@
 package io.hornbeamfield.entry.control;
 
+import io.hornbeamfield.core.prepaid.EndedHolder;
 import io.hornbeamfield.core.prepaid.PrepaidBook;
 import io.hornbeamfield.core.prepaid.PrepaidLedger;
 import io.hornbeamfield.entry.EventLog;
@@ -7,6 +8,7 @@
 import io.hornbeamfield.platform.StoreClient;
 import io.hornbeamfield.platform.StoreObject;
 import io.hornbeamfield.platform.WriteReply;
+import java.util.Collection;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
@@ -170,13 +172,20 @@
     }
 
     private void write(StoreObject object) {
-        Optional<PrepaidLedger> next =
-                book.plan(ledger(object), object.revision(), peers().witnesses().ended());
+        PrepaidLedger ledger = ledger(object);
+        Collection<EndedHolder> ended = peers().witnesses().ended(ledger);
+        Optional<PrepaidLedger> next = book.plan(ledger, object.revision(), ended);
         if (next.isEmpty()) {
             busy = false;
             waiters.holdingsChanged();
             return;
         }
+        for (EndedHolder e : ended) {
+            log.event("prepaid-freed")
+                    .field("holder", e.holder())
+                    .field("revision", object.revision())
+                    .write();
+        }
         store.replace(KIND, NAME, object.revision(), Json.tree(next.get())).whenCompleteAsync(this::written, control);
     }
 
--- a/entry/src/main/java/io/hornbeamfield/entry/control/Witnesses.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/Witnesses.java
@@ -29,8 +29,11 @@
  * the control thread.
  */
 final class Witnesses {
-    /** One may be killed together with this instance; each more costs two messages a request. */
-    private static final int COUNT = 2;
+    /** All others of a small fleet: when 5 of 8 instances are killed at once, the remaining 3 are a quorum. */
+    private static final int COUNT = 7;
+
+    /** An answer that was lost with its link; the question is a small message. */
+    private static final long ASK_AGAIN_MS = 1_000;
 
     /** Several round trips between two availability zones; a request waits no longer for a witness that is gone. */
     private static final long ACK_TIMEOUT_MS = 40;
@@ -49,8 +52,8 @@
     private final Runnable onChanged;
     private final Map<String, Map<String, Long>> kept = new LinkedHashMap<>();
     private final Set<String> closed = new HashSet<>();
-    private final Map<String, EndedHolder> ended = new HashMap<>();
-    private final Map<String, Set<String>> asked = new HashMap<>();
+    private final Map<String, Map<String, Map<String, Long>>> answers = new HashMap<>();
+    private final Map<String, Map<String, Long>> askAgainMs = new HashMap<>();
     private final List<Waiting> waiting = new ArrayList<>();
     private final Set<String> raising = new HashSet<>();
     private final Map<String, Long> silentUntilMs = new HashMap<>();
@@ -212,15 +215,16 @@
         }
     }
 
-    /** Asks the linked witnesses of ended holders that have not been asked. */
+    /** Asks the linked witnesses of ended holders that have not answered. */
     void askAbout(PrepaidLedger ledger, Collection<String> endedHolders) {
         Map<String, PeerLink> linked = linked();
+        long now = clock.millis();
         for (String holder : endedHolders) {
+            Map<String, Long> times = askAgainMs.computeIfAbsent(holder, h -> new HashMap<>());
             for (String witness : ledger.witnessesOf(holder)) {
                 PeerLink link = linked.get(witness);
-                if (link != null
-                        && !ended.containsKey(holder)
-                        && asked.computeIfAbsent(holder, h -> new HashSet<>()).add(witness)) {
+                if (link != null && times.getOrDefault(witness, Long.MIN_VALUE) <= now) {
+                    times.put(witness, now + ASK_AGAIN_MS);
                     link.send(new PeerMessage.LimitQuery(holder));
                 }
             }
@@ -228,18 +232,28 @@
     }
 
     private void replied(PeerLink link, PeerMessage.LimitReply reply) {
-        if (reply.known() && asked.containsKey(reply.holder())) {
-            ended.put(reply.holder(), new EndedHolder(reply.holder(), Optional.of(reply.limits())));
-            log.event("prepaid-freed")
-                    .field("holder", reply.holder())
-                    .field("witness", link.peer().incarnation())
-                    .write();
+        Map<String, Long> times = askAgainMs.get(reply.holder());
+        if (times == null) {
+            return;
+        }
+        String witness = link.peer().incarnation();
+        times.put(witness, Long.MAX_VALUE);
+        log.event("prepaid-limits-answered")
+                .field("holder", reply.holder())
+                .field("witness", witness)
+                .field("known", reply.known() ? 1 : 0)
+                .write();
+        if (reply.known()) {
+            answers.computeIfAbsent(reply.holder(), h -> new HashMap<>()).put(witness, reply.limits());
             onChanged.run();
         }
     }
 
-    /** Returns the ended holders whose use is known. */
-    Collection<EndedHolder> ended() {
-        return List.copyOf(ended.values());
+    /** Returns the ended holders whose use enough of the witnesses know that a ledger names. */
+    Collection<EndedHolder> ended(PrepaidLedger ledger) {
+        return answers.entrySet().stream()
+                .map(e -> EndedHolder.fromAnswers(e.getKey(), ledger.witnessesOf(e.getKey()), e.getValue()))
+                .flatMap(Optional::stream)
+                .toList();
     }
 }
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerLinks.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerLinks.java
@@ -162,7 +162,8 @@
         @Override
         public void onEnd(boolean reusable) {
             // The address of a server that has ended may already belong to another one.
-            boolean other = !answeredBy.isEmpty() && !answeredBy.equals(link.server().id());
+            boolean other =
+                    !answeredBy.isEmpty() && !answeredBy.equals(link.server().id());
             finish(status == OK && !other, other ? "answered by " + answeredBy : "status " + status);
         }
 
