Take changed settings over while the daemon runs

Cause: settings were read at a start only; SIGHUP and silent changes of the file were logged and had no effect, although accepted settings are to hold within seconds. Grace, limits of repeats and the time for addresses are in force at once, the other fields from the next start; a file that cannot be used changes nothing. A line names the fields. RetryShare changes its limit and forgets no repeat. Ruled out: a new store address at run time; another store without the ledger would hand out every total again.

--- a/core/src/main/java/io/hornbeamfield/core/attempt/RetryShare.java
+++ b/core/src/main/java/io/hornbeamfield/core/attempt/RetryShare.java
@@ -1,6 +1,7 @@
 package io.hornbeamfield.core.attempt;
 
 import java.time.Clock;
+import java.util.Arrays;
 
 /**
  * This instance's share of a fleet-wide retry limit: in each window the repeats of all instances together may be a
@@ -19,9 +20,9 @@
     private static final double SAFETY = 0.8;
 
     private final Clock clock;
-    private final double ratio;
-    private final double slack;
-    private final long bucketMs;
+    private double ratio;
+    private double slack;
+    private long bucketMs;
     private final int[] requests = new int[BUCKETS_PER_WINDOW + 1];
     private final int[] repeats = new int[BUCKETS_PER_WINDOW + 1];
     private long currentBucket;
@@ -31,10 +32,33 @@
         this.clock = clock;
         this.ratio = ratio;
         this.slack = slack;
-        this.bucketMs = Math.max(1, windowMs / BUCKETS_PER_WINDOW);
+        this.bucketMs = bucketMs(windowMs);
         this.currentBucket = clock.millis() / bucketMs;
     }
 
+    private static long bucketMs(long windowMs) {
+        return Math.max(1, windowMs / BUCKETS_PER_WINDOW);
+    }
+
+    /**
+     * Changes the limit. With another window all repeats so far count as done now and no request does, so that neither
+     * the old limit nor the new one is exceeded.
+     */
+    public void limit(double newRatio, double newSlack, long windowMs) {
+        ratio = newRatio;
+        slack = newSlack;
+        long newBucketMs = bucketMs(windowMs);
+        if (newBucketMs != bucketMs) {
+            index();
+            int repeatsSoFar = sum(repeats);
+            Arrays.fill(requests, 0);
+            Arrays.fill(repeats, 0);
+            bucketMs = newBucketMs;
+            currentBucket = clock.millis() / bucketMs;
+            repeats[(int) (currentBucket % repeats.length)] = repeatsSoFar;
+        }
+    }
+
     /** Counts a request of a caller. */
     public void requestArrived() {
         requests[index()]++;
--- a/core/src/test/java/io/hornbeamfield/core/attempt/RetryShareTest.java
+++ b/core/src/test/java/io/hornbeamfield/core/attempt/RetryShareTest.java
@@ -13,6 +13,10 @@
 final class RetryShareTest {
     private static final double RATIO = 0.2;
     private static final double SLACK = 56;
+
+    /** Its share of one instance is a whole number of repeats. */
+    private static final double EVEN_SLACK = 80;
+
     private static final long WINDOW_MS = 10_000;
     private static final int INSTANCES = 8;
 
@@ -53,6 +57,18 @@
         }
     }
 
+    @Test
+    void aChangedLimitHoldsAtOnceAndForgetsNoRepeat() {
+        RetryShare share = new RetryShare(clock, RATIO, EVEN_SLACK, WINDOW_MS);
+        int first = spend(share);
+        share.limit(RATIO, 2 * EVEN_SLACK, WINDOW_MS);
+        assertThat(spend(share)).isEqualTo(first);
+        share.limit(RATIO, 2 * EVEN_SLACK, 2 * WINDOW_MS);
+        assertThat(spend(share)).isZero();
+        clock.advance(Duration.ofMillis(3 * WINDOW_MS));
+        assertThat(spend(share)).isEqualTo(2 * first);
+    }
+
     @Test
     void afterAPauseLongerThanTheWindowTheWholeShareIsThereAgain() {
         RetryShare share = new RetryShare(clock, RATIO, SLACK, WINDOW_MS);
--- a/entry/src/main/java/io/hornbeamfield/entry/Directory.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/Directory.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.function.IntSupplier;
 
 /** Answers whether this instance takes requests, and which addresses callers should use. */
 final class Directory {
@@ -24,12 +25,12 @@
 
     private final Blackboard blackboard;
     private final String self;
-    private final int keepSeconds;
+    private final IntSupplier maxKeepSeconds;
 
-    Directory(Blackboard blackboard, String self, int maxKeepSeconds) {
+    Directory(Blackboard blackboard, String self, IntSupplier maxKeepSeconds) {
         this.blackboard = blackboard;
         this.self = self;
-        this.keepSeconds = Math.min(KEEP_SECONDS, maxKeepSeconds);
+        this.maxKeepSeconds = maxKeepSeconds;
     }
 
     void ready(InboundRequest request) {
@@ -45,7 +46,8 @@
         if (addresses.isEmpty()) {
             request.reply(503, List.of(), new byte[0]);
         } else {
-            request.reply(200, JSON, AddressAnswer.encode(addresses, keepSeconds));
+            request.reply(
+                    200, JSON, AddressAnswer.encode(addresses, Math.min(KEEP_SECONDS, maxKeepSeconds.getAsInt())));
         }
     }
 
--- a/entry/src/main/java/io/hornbeamfield/entry/EntrySettings.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/EntrySettings.java
@@ -43,6 +43,25 @@
         long retryWindowMs,
         int addressTtlSeconds) {
 
+    /** Returns these settings with those of another file that can change while a process runs. */
+    EntrySettings withChangeable(EntrySettings from) {
+        return new EntrySettings(
+                instance,
+                availabilityZone,
+                callerAddress,
+                readinessAddress,
+                directoryAddress,
+                peerAddress,
+                peerSecret,
+                metricsPort,
+                storeAddress,
+                from.graceMs,
+                from.retryRatio,
+                from.retrySlack,
+                from.retryWindowMs,
+                from.addressTtlSeconds);
+    }
+
     /** Reads and checks a settings file. A refusal names the field and what to do. */
     public static Result<EntrySettings> load(Path file) {
         byte[] bytes;
--- /dev/null
+++ b/entry/src/main/java/io/hornbeamfield/entry/LiveSettings.java
@@ -0,0 +1,96 @@
+package io.hornbeamfield.entry;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.hornbeamfield.core.result.Result;
+import io.hornbeamfield.net.json.Json;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.function.Supplier;
+
+/**
+ * The settings in force, and the file they come from. Limits of repeats, the grace and the time for which callers may
+ * keep addresses change while the process runs; names, addresses and ports change with the next start. A file that
+ * cannot be used changes nothing.
+ *
+ * <pre>{@code
+ * LiveSettings live = LiveSettings.of(file, settings, log);
+ * live.check();
+ * live.get().retryRatio();
+ * }</pre>
+ */
+final class LiveSettings implements Supplier<EntrySettings> {
+    private final Path file;
+    private final EventLog log;
+    private volatile EntrySettings inForce;
+    private byte[] seen = new byte[0];
+
+    private LiveSettings(Path file, EntrySettings settings, EventLog log) {
+        this.file = file;
+        this.inForce = settings;
+        this.log = log;
+    }
+
+    static LiveSettings of(Path file, EntrySettings settings, EventLog log) {
+        return new LiveSettings(file, settings, log);
+    }
+
+    @Override
+    public EntrySettings get() {
+        return inForce;
+    }
+
+    /** Reads the file and takes over what it changes. Writes a log line for each new content. */
+    synchronized void check() {
+        byte[] content;
+        try {
+            content = Files.readAllBytes(file);
+        } catch (IOException e) {
+            content = new byte[0];
+            if (seen.length > 0) {
+                rejected("It cannot be read (" + e + ").");
+            }
+        }
+        if (content.length > 0 && !Arrays.equals(content, seen)) {
+            take(EntrySettings.parse(content, "Settings file " + file));
+        }
+        seen = content;
+    }
+
+    private void take(Result<EntrySettings> read) {
+        if (read instanceof Result.Refused<EntrySettings> refused) {
+            rejected(refused.refusal().detail());
+        } else if (read instanceof Result.Ok<EntrySettings> ok) {
+            EntrySettings before = inForce;
+            EntrySettings after = before.withChangeable(ok.value());
+            inForce = after;
+            log.event("settings")
+                    .field("file", file.toString())
+                    .field("changed", String.join(",", differences(before, after)))
+                    .field("fromNextStart", String.join(",", differences(after, ok.value())))
+                    .write();
+        }
+    }
+
+    private void rejected(String reason) {
+        log.event("settings")
+                .field("file", file.toString())
+                .field("rejected", reason)
+                .write();
+    }
+
+    private static List<String> differences(EntrySettings a, EntrySettings b) {
+        JsonNode left = Json.tree(a);
+        JsonNode right = Json.tree(b);
+        List<String> names = new ArrayList<>();
+        left.fieldNames().forEachRemaining(n -> {
+            if (!left.path(n).equals(right.path(n))) {
+                names.add(n);
+            }
+        });
+        return names;
+    }
+}
--- a/entry/src/main/java/io/hornbeamfield/entry/Main.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/Main.java
@@ -60,7 +60,7 @@
     private static void serve(Path file, EntrySettings settings) throws InterruptedException {
         StdoutEventLog log = StdoutEventLog.start(MonotonicClock.start());
         LibraryLog.install(log);
-        EntryProcess entry = EntryProcess.start(settings, log);
+        EntryProcess entry = EntryProcess.start(file, settings, log);
         CountDownLatch stopped = new CountDownLatch(1);
         Signal.handle(new Signal("TERM"), s -> {
             log.event("signal").field("name", "TERM").write();
@@ -68,9 +68,9 @@
         });
         Signal.handle(new Signal("HUP"), s -> {
             log.event("signal").field("name", "HUP").write();
-            SettingsFile.compare(file, settings, log);
+            entry.reloadSettings();
         });
-        SettingsFile.compare(file, settings, log);
+        entry.reloadSettings();
         stopped.await();
         Thread.sleep(LINGER_MS);
         log.close();
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/RetryShares.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/RetryShares.java
@@ -1,26 +1,26 @@
 package io.hornbeamfield.entry.traffic;
 
 import io.hornbeamfield.core.attempt.RetryShare;
+import io.hornbeamfield.entry.EntrySettings;
 import java.time.Clock;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.IntSupplier;
+import java.util.function.Supplier;
 
-/** The retry share of each service. */
+/** The retry share of each service, by the settings in force. */
 final class RetryShares {
     private final Clock clock;
-    private final double ratio;
-    private final double slack;
-    private final long windowMs;
+    private final Supplier<EntrySettings> settings;
     private final IntSupplier instances;
     private final Map<String, RetryShare> shares = new HashMap<>();
+    private EntrySettings applied;
 
-    RetryShares(Clock clock, double ratio, double slack, long windowMs, IntSupplier instances) {
+    RetryShares(Clock clock, Supplier<EntrySettings> settings, IntSupplier instances) {
         this.clock = clock;
-        this.ratio = ratio;
-        this.slack = slack;
-        this.windowMs = windowMs;
+        this.settings = settings;
         this.instances = instances;
+        this.applied = settings.get();
     }
 
     void requestArrived(String service) {
@@ -32,6 +32,12 @@
     }
 
     private RetryShare share(String service) {
-        return shares.computeIfAbsent(service, s -> new RetryShare(clock, ratio, slack, windowMs));
+        EntrySettings now = settings.get();
+        if (!now.equals(applied)) {
+            applied = now;
+            shares.values().forEach(s -> s.limit(now.retryRatio(), now.retrySlack(), now.retryWindowMs()));
+        }
+        return shares.computeIfAbsent(
+                service, s -> new RetryShare(clock, now.retryRatio(), now.retrySlack(), now.retryWindowMs()));
     }
 }
--- a/entry/src/test/java/io/hornbeamfield/entry/EntryFixture.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/EntryFixture.java
@@ -6,6 +6,7 @@
 import io.hornbeamfield.platform.standin.RunnerStandIn;
 import io.hornbeamfield.platform.standin.StoreStandIn;
 import io.hornbeamfield.standins.FreePorts;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -104,7 +105,7 @@
                 50,
                 10_000,
                 5);
-        EntryProcess entry = EntryProcess.start(s, EventLog.none());
+        EntryProcess entry = EntryProcess.start(Path.of("no-settings-file"), s, EventLog.none());
         settings.add(s);
         entries.add(entry);
         return entry;
