Say when refused callers find tokens, and log why they got none

Cause: a request that could not get tokens was told to come back after 2.5 s, whatever had failed. The log did not say what the instance knew of the total. Change: ReturnTime goes by the age of the outage, up to a third of the longest deadline, and sends callers of a cut-off instance elsewhere at once. tokens-refused names the tokens asked for, the reason and the holding.

--- /dev/null
+++ b/core/src/main/java/io/hornbeamfield/core/prepaid/ReturnTime.java
@@ -0,0 +1,42 @@
+package io.hornbeamfield.core.prepaid;
+
+import java.util.random.RandomGenerator;
+
+/**
+ * When a caller should come back whose tokens an instance cannot get from the store.
+ *
+ * <p>Answers two load patterns: all instances lose the store for up to nine seconds, where callers that return early
+ * are refused again; and one instance is cut off, where each other one serves its callers at once.
+ */
+public final class ReturnTime {
+    /** Outages and partitions of today's deployments last from 4 to 9 s. */
+    private static final long EXPECTED_OUTAGE_MS = 8_000;
+
+    /** Callers wait a third of the time that they have left at most: 5 s of the longest deadline, 15 s. */
+    private static final long LONGEST_MS = 5_000;
+
+    /** An outage that lasts longer than expected may end at any moment. */
+    private static final long SHORTEST_MS = 1_500;
+
+    /** Time to find another address. */
+    private static final long ELSEWHERE_MS = 100;
+
+    /** Callers that were refused together come back spread over this share of the time. */
+    private static final double SPREAD = 0.3;
+
+    private ReturnTime() {}
+
+    /**
+     * Returns the time to wait.
+     *
+     * @param storeAwayMs how long the store has not answered this instance
+     * @param linked other instances that this one is linked with
+     * @param known other instances that are registered
+     */
+    public static long afterMs(long storeAwayMs, int linked, int known, RandomGenerator random) {
+        boolean cutOff = 2 * linked < known;
+        long left = EXPECTED_OUTAGE_MS - storeAwayMs;
+        long base = cutOff ? ELSEWHERE_MS : Math.max(SHORTEST_MS, Math.min(LONGEST_MS, left));
+        return (long) (base * (1 + SPREAD * random.nextDouble()));
+    }
+}
--- a/entry/src/main/java/io/hornbeamfield/entry/EntryProcess.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/EntryProcess.java
@@ -13,6 +13,7 @@
 import io.hornbeamfield.net.relay.InboundRequest;
 import io.hornbeamfield.net.relay.RelayTransport;
 import io.hornbeamfield.net.relay.Serial;
+import java.nio.file.Path;
 import java.time.Clock;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -20,6 +21,7 @@
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
 
 /**
  * A whole entry daemon.
@@ -42,7 +44,14 @@
 
     private static final long LEAVE_POLL_MS = 50;
 
+    /** An operator who changes the file without a signal sees the change within seconds. */
+    private static final long SETTINGS_CHECK_MS = 2_000;
+
+    private final LiveSettings live;
+
+    /** As of the start; what can change meanwhile is read from {@link #live}. */
     private final EntrySettings settings;
+
     private final Clock clock = MonotonicClock.start();
     private final Blackboard blackboard = new Blackboard();
     private final Serial serial = new Serial();
@@ -55,8 +64,9 @@
     private final EventLog log;
     private final Metrics metrics = Metrics.create();
 
-    private EntryProcess(EntrySettings settings, EventLog log) {
-        this.settings = settings;
+    private EntryProcess(LiveSettings live, EventLog log) {
+        this.live = live;
+        this.settings = live.get();
         this.log = log;
         executor = new ScheduledThreadPoolExecutor(1, r -> {
             Thread t = new Thread(r, "control");
@@ -72,8 +82,7 @@
                 () -> blackboard.members().size());
         Timers timers = new Timers(executor, serial);
         control = new Control(settings, clock, executor, http, blackboard, book, log, new Waiters());
-        traffic =
-                Traffic.start(settings, clock, timers, transport, blackboard, book, control::needTokens, metrics, log);
+        traffic = Traffic.start(live, clock, timers, transport, blackboard, book, control::needTokens, metrics, log);
         metrics.gauge("log.dropped", log::dropped);
         metrics.gauge(
                 "config.version",
@@ -81,10 +90,12 @@
         metrics.gauge("requests.open", traffic::open);
         listen();
         control.start();
+        executor.scheduleWithFixedDelay(live::check, SETTINGS_CHECK_MS, SETTINGS_CHECK_MS, TimeUnit.MILLISECONDS);
     }
 
     private void listen() {
-        Directory directory = new Directory(blackboard, settings.instance(), settings.addressTtlSeconds());
+        Directory directory =
+                new Directory(blackboard, settings.instance(), () -> live.get().addressTtlSeconds());
         transport.listen(settings.readinessAddress(), () -> InboundLimits.DEFAULT, directory::ready);
         transport.listen(settings.directoryAddress(), () -> InboundLimits.DEFAULT, directory::addresses);
         if (settings.metricsPort() > 0) {
@@ -113,9 +124,9 @@
         request.reply(200, List.of(new Header("Content-Type", "application/json")), Json.bytes(state));
     }
 
-    /** Starts a daemon. */
-    public static EntryProcess start(EntrySettings settings, EventLog log) {
-        EntryProcess entry = new EntryProcess(settings, log);
+    /** Starts a daemon with settings that were read from a file; later changes of the file are taken over. */
+    public static EntryProcess start(Path file, EntrySettings settings, EventLog log) {
+        EntryProcess entry = new EntryProcess(LiveSettings.of(file, settings, log), log);
         log.event("start")
                 .field("instance", settings.instance())
                 .field("holder", entry.book.holder())
@@ -124,6 +135,11 @@
         return entry;
     }
 
+    /** Takes over changes of the settings file now. */
+    public void reloadSettings() {
+        executor.execute(live::check);
+    }
+
     /** Passes news about tokens on to the traffic. */
     private final class Waiters implements Control.Waiters {
         @Override
@@ -132,8 +148,13 @@
         }
 
         @Override
-        public void nothingToHave(String workspace, boolean exhausted) {
-            serial.run(() -> traffic.nothingToHave(workspace, exhausted));
+        public void exhausted(String workspace) {
+            serial.run(() -> traffic.tokensExhausted(workspace));
+        }
+
+        @Override
+        public void unavailable(String workspace, long retryAfterMs) {
+            serial.run(() -> traffic.tokensUnavailable(workspace, retryAfterMs));
         }
     }
 
@@ -155,7 +176,7 @@
 
     private void awaitLastRequest(long startedMs, CompletableFuture<Void> left) {
         long passed = clock.millis() - startedMs;
-        boolean graceEnds = passed > settings.graceMs() - LEAVE_RESERVE_MS;
+        boolean graceEnds = passed > live.get().graceMs() - LEAVE_RESERVE_MS;
         boolean idle = passed > ACCEPT_WHILE_LEAVING_MS + 2 * LEAVE_POLL_MS && traffic.open() == 0;
         if (graceEnds || idle) {
             control.returnTokens(() -> {
--- a/entry/src/main/java/io/hornbeamfield/entry/control/Control.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/Control.java
@@ -50,7 +50,7 @@
             Waiters waiters) {
         this.executor = executor;
         StoreClient store = new StoreClient(http, settings.storeAddress(), STORE_TIMEOUT);
-        prepaid = new PrepaidController(store, executor, book, log, endedHolders(settings, book), waiters);
+        prepaid = new PrepaidController(store, clock, executor, book, log, endedHolders(settings, book), waiters);
         backends = new BackendController(store, executor, clock, blackboard, log);
         configs = new KindFollower(
                 store,
--- a/entry/src/main/java/io/hornbeamfield/entry/control/PeerTransfers.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/PeerTransfers.java
@@ -91,6 +91,16 @@
         return witnesses;
     }
 
+    /** Returns the number of instances that this one is linked with. */
+    int linked() {
+        return transport.links().size();
+    }
+
+    /** Returns the number of instances that this one should be linked with. */
+    int known() {
+        return dialled.size();
+    }
+
     /** Links with the registered instances, the nearest in the order of names first. */
     void members(Collection<Member> members, String self) {
         List<Member> others = members.stream()
--- a/entry/src/main/java/io/hornbeamfield/entry/control/PrepaidController.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/PrepaidController.java
@@ -3,11 +3,13 @@
 import io.hornbeamfield.core.prepaid.EndedHolder;
 import io.hornbeamfield.core.prepaid.PrepaidBook;
 import io.hornbeamfield.core.prepaid.PrepaidLedger;
+import io.hornbeamfield.core.prepaid.ReturnTime;
 import io.hornbeamfield.entry.EventLog;
 import io.hornbeamfield.net.json.Json;
 import io.hornbeamfield.platform.StoreClient;
 import io.hornbeamfield.platform.StoreObject;
 import io.hornbeamfield.platform.WriteReply;
+import java.time.Clock;
 import java.util.Collection;
 import java.util.Objects;
 import java.util.Optional;
@@ -37,11 +39,15 @@
         /** This instance may hold more tokens than before. */
         void holdingsChanged();
 
-        /** No tokens can be had; the total may still cover the requests if it is not exhausted. */
-        void nothingToHave(String workspace, boolean exhausted);
+        /** The total does not cover the requests. */
+        void exhausted(String workspace);
+
+        /** No tokens can be had now, although the total may cover the requests. */
+        void unavailable(String workspace, long retryAfterMs);
     }
 
     private final StoreClient store;
+    private final Clock clock;
     private final ScheduledExecutorService control;
     private final PrepaidBook book;
     private final EventLog log;
@@ -52,15 +58,18 @@
     private boolean absent;
     private boolean busy;
     private boolean storeLost;
+    private long lostSinceMs;
 
     PrepaidController(
             StoreClient store,
+            Clock clock,
             ScheduledExecutorService control,
             PrepaidBook book,
             EventLog log,
             Predicate<String> isEnded,
             Waiters waiters) {
         this.store = store;
+        this.clock = clock;
         this.control = control;
         this.book = book;
         this.log = log;
@@ -114,7 +123,7 @@
     /** Without the store no other witness can be named, so that a silent one leaves nothing to wait for. */
     private void limitRaised(String workspace) {
         if (storeLost && book.limitShort(workspace)) {
-            waiters.nothingToHave(workspace, false);
+            waiters.unavailable(workspace, retryAfterMs());
         } else {
             waiters.holdingsChanged();
         }
@@ -122,14 +131,20 @@
 
     private void askPeers(String workspace) {
         Runnable onNothing = () -> {
-            boolean exhausted = !storeLost && seen != null && !book.covers(workspace);
-            if (exhausted || storeLost) {
-                waiters.nothingToHave(workspace, exhausted);
+            if (storeLost) {
+                waiters.unavailable(workspace, retryAfterMs());
+            } else if (seen != null && !book.covers(workspace)) {
+                waiters.exhausted(workspace);
             }
         };
         peers().ask(workspace, onNothing);
     }
 
+    private long retryAfterMs() {
+        return ReturnTime.afterMs(
+                clock.millis() - lostSinceMs, peers().linked(), peers().known(), ThreadLocalRandom.current());
+    }
+
     private PeerTransfers peers() {
         return Objects.requireNonNull(peers, "peers");
     }
@@ -219,7 +234,10 @@
     }
 
     private void pause() {
-        storeLost = true;
+        if (!storeLost) {
+            storeLost = true;
+            lostSinceMs = clock.millis();
+        }
         long delay = RETRY_MS + ThreadLocalRandom.current().nextLong(RETRY_MS);
         control.schedule(
                 () -> {
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/PrepaidQueue.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/PrepaidQueue.java
@@ -23,7 +23,7 @@
         void notCovered();
 
         /** The tokens cannot be had now. */
-        void unavailable();
+        void unavailable(long retryAfterMs);
     }
 
     /** A request that waits. */
@@ -85,20 +85,26 @@
         }
     }
 
-    /** Turns the requests of a workspace away that are not covered. */
-    void nothingToHave(String workspace, boolean exhausted) {
+    /** Turns the requests of a workspace away that its total does not cover. */
+    void exhausted(String workspace) {
         holdingsChanged();
         for (Waiting w : List.copyOf(queue(workspace))) {
-            if (!exhausted) {
-                w.cancel();
-                w.outcome.unavailable();
-            } else if (book.available(workspace) < w.tokens) {
+            if (book.available(workspace) < w.tokens) {
                 w.cancel();
                 w.outcome.notCovered();
             }
         }
     }
 
+    /** Turns all waiting requests of a workspace away. */
+    void unavailable(String workspace, long retryAfterMs) {
+        holdingsChanged();
+        for (Waiting w : List.copyOf(queue(workspace))) {
+            w.cancel();
+            w.outcome.unavailable(retryAfterMs);
+        }
+    }
+
     int waiting() {
         return queues.values().stream().mapToInt(Deque::size).sum();
     }
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/TokenReservation.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/TokenReservation.java
@@ -13,7 +13,7 @@
 
     private static final long MIN_WAIT_MS = 100;
 
-    /** Partitions and outages of the store last for seconds; a caller that comes back at once is refused again. */
+    /** The store is slow rather than away; a caller that comes back at once is refused again. */
     private static final long RETRY_AFTER_MS = 2_500;
 
     private final TrafficParts parts;
@@ -60,29 +60,32 @@
 
     @Override
     public void notCovered() {
-        waiting = null;
-        listener.onRefused(ResultCode.BUDGET_EXHAUSTED, "The prepaid total does not cover this request.", 0);
+        refused(ResultCode.BUDGET_EXHAUSTED, "The prepaid total does not cover this request.", 0);
     }
 
     @Override
-    public void unavailable() {
+    public void unavailable(long retryAfterMs) {
+        refused(ResultCode.BUDGET_BUSY, "The prepaid total cannot be reached from this instance.", retryAfterMs);
+    }
+
+    private void refused(ResultCode code, String detail, long retryAfterMs) {
         waiting = null;
-        listener.onRefused(
-                ResultCode.BUDGET_BUSY, "The prepaid total cannot be reached from this instance.", RETRY_AFTER_MS);
+        parts.log()
+                .event("tokens-refused")
+                .field("id", head.attemptId())
+                .field("workspace", workspace)
+                .field("tokens", head.maxTokens())
+                .field("reason", code.name())
+                .field("holding", parts.book().describe(workspace))
+                .write();
+        listener.onRefused(code, detail, retryAfterMs);
     }
 
     private void waitedTooLong() {
         PrepaidQueue.Waiting w = waiting;
         if (w != null) {
-            parts.log()
-                    .event("tokens-not-in-time")
-                    .field("id", head.attemptId())
-                    .field("workspace", workspace)
-                    .field("tokens", head.maxTokens())
-                    .field("holding", parts.book().describe(workspace))
-                    .write();
             w.cancel();
-            unavailable();
+            unavailable(RETRY_AFTER_MS);
         }
     }
 
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/Traffic.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/Traffic.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 /**
  * The requests of callers.
@@ -40,7 +41,7 @@
     /** Starts to serve callers. */
     @SuppressWarnings("checkstyle:ParameterNumber")
     public static Traffic start(
-            EntrySettings settings,
+            Supplier<EntrySettings> settings,
             Clock clock,
             Timers timers,
             RelayTransport transport,
@@ -51,16 +52,12 @@
             EventLog log) {
         ServerLinks links = new ServerLinks(clock, timers, transport, blackboard, log);
         PrepaidQueue prepaid = new PrepaidQueue(book, needTokens);
-        RetryShares retries = new RetryShares(
-                clock,
-                settings.retryRatio(),
-                settings.retrySlack(),
-                settings.retryWindowMs(),
-                () -> blackboard.members().size());
+        RetryShares retries =
+                new RetryShares(clock, settings, () -> blackboard.members().size());
         RelayHandler handler = new RelayHandler(
                 new TrafficParts(clock, timers, blackboard, book, prepaid, links, retries, metrics, log));
         transport.listen(
-                settings.callerAddress(),
+                settings.get().callerAddress(),
                 () -> blackboard
                         .config()
                         .map(RouteConfig::limits)
@@ -83,9 +80,14 @@
         prepaid.holdingsChanged();
     }
 
-    /** Turns requests away that wait for tokens that cannot be had. To be called in the serial. */
-    public void nothingToHave(String workspace, boolean exhausted) {
-        prepaid.nothingToHave(workspace, exhausted);
+    /** Turns the requests of a workspace away that its total does not cover. To be called in the serial. */
+    public void tokensExhausted(String workspace) {
+        prepaid.exhausted(workspace);
+    }
+
+    /** Turns the requests of a workspace away that wait for tokens. To be called in the serial. */
+    public void tokensUnavailable(String workspace, long retryAfterMs) {
+        prepaid.unavailable(workspace, retryAfterMs);
     }
 
     /** Refuses all further requests. To be called in the serial. */
