Refuse requests that can be read in two ways

Cause: a table of hostile requests showed that a transfer coding other than chunked was served as if it were chunked, a carriage return in a value went on to the server, two hosts and an empty header name were accepted, HTTP/2.0 and requests without a version were answered with 200, and a long target did not count towards the header limit. Change: RequestCheck refuses them with 400, other versions with 505; the target counts towards the limit.

--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyInboundRequest.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyInboundRequest.java
@@ -10,6 +10,7 @@
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.http.Protocol;
 import org.glassfish.grizzly.http.util.HttpStatus;
 import org.glassfish.grizzly.http.util.MimeHeaders;
 import org.glassfish.grizzly.memory.Buffers;
@@ -61,21 +62,19 @@
         return head == packet && !complete;
     }
 
+    /** Returns the size of the headers and of the target. */
     int headerBytes() {
-        return headers.stream()
-                .mapToInt(h -> h.name().length() + h.value().length() + 4)
-                .sum();
+        return path.length()
+                + query.length()
+                + headers.stream()
+                        .mapToInt(h -> h.name().length() + h.value().length() + 4)
+                        .sum();
     }
 
-    /** Two ways of saying where a body ends let a request hide inside another one. */
-    boolean hasAmbiguousLength() {
-        long lengths = count("Content-Length");
-        long codings = count("Transfer-Encoding");
-        return lengths > 1 || codings > 1 || (lengths == 1 && codings == 1);
-    }
-
-    private long count(String name) {
-        return headers.stream().filter(h -> h.name().equalsIgnoreCase(name)).count();
+    /** Returns whether the request is of a version that this transport speaks. */
+    boolean isSupportedVersion() {
+        Protocol version = head.getProtocol();
+        return version == Protocol.HTTP_1_1 || version == Protocol.HTTP_1_0;
     }
 
     long announcedLength() {
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundFilter.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundFilter.java
@@ -19,6 +19,7 @@
     private static final int BAD_REQUEST = 400;
     private static final int BODY_TOO_LARGE = 413;
     private static final int HEADERS_TOO_LARGE = 431;
+    private static final int VERSION_NOT_SUPPORTED = 505;
 
     private final Serial serial;
     private final InboundHandler handler;
@@ -74,7 +75,9 @@
     private void refuseHead(GrizzlyInboundRequest request) {
         if (request.headerBytes() > limits.get().maxHeaderBytes()) {
             refuse(request, HEADERS_TOO_LARGE);
-        } else if (request.hasAmbiguousLength()) {
+        } else if (!request.isSupportedVersion()) {
+            refuse(request, VERSION_NOT_SUPPORTED);
+        } else if (!RequestCheck.isUnambiguous(request.headers())) {
             refuse(request, BAD_REQUEST);
         } else if (request.announcedLength() > limits.get().maxBodyBytes()) {
             refuse(request, BODY_TOO_LARGE);
