Avoid servers that say nothing to any request

Change: SilenceWatch compares how long a server has said nothing on any connection with what its requests explain: 0.6 s with several streams, 1 s with one, 1.5 s with unanswered requests. Such a server is avoided until it answers a health check; what may be repeated or resumed goes on elsewhere if the limit of repeats allows it. The line of a request names the tokens that it was charged. Ruled out: not charging requests without an event; whether the engine began them is not known. EntryRelayTest fails without the change: the streams end after 8 s.

--- a/core/src/main/java/io/hornbeamfield/core/attempt/RetryShare.java
+++ b/core/src/main/java/io/hornbeamfield/core/attempt/RetryShare.java
@@ -66,13 +66,16 @@
 
     /** Returns whether one more repeat fits, and counts it if so. */
     public boolean tryRepeat(int instances) {
-        int index = index();
+        boolean fits = mayRepeat(instances);
+        repeats[index()] += fits ? 1 : 0;
+        return fits;
+    }
+
+    /** Returns whether one more repeat fits. */
+    public boolean mayRepeat(int instances) {
+        index();
         double allowed = SAFETY * (ratio * sum(requests) + slack / Math.max(1, instances));
-        if (sum(repeats) + 1 > allowed) {
-            return false;
-        }
-        repeats[index]++;
-        return true;
+        return sum(repeats) + 1 <= allowed;
     }
 
     private int index() {
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/Attempt.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/Attempt.java
@@ -29,6 +29,7 @@
     private boolean sent;
     private boolean done;
     private boolean promptRead;
+    private boolean streaming;
     private int status;
     private List<Header> headers = List.of();
     private boolean declined;
@@ -41,6 +42,9 @@
         /** A part of a successful stream has arrived. */
         void onStreamData(Attempt attempt, byte[] part);
 
+        /** The server says nothing to any of its requests; the attempt goes on unless the listener ends it. */
+        void onServerSilent(Attempt attempt);
+
         /** The attempt has ended. */
         void onAttemptEnd(Attempt attempt, AttemptEnd end, String reason);
     }
@@ -61,7 +65,7 @@
     }
 
     void start(int maxConnections) {
-        link.requestStarted(promptTokens);
+        link.requestStarted(this, promptTokens);
         link.acquire(maxConnections, this);
     }
 
@@ -97,6 +101,7 @@
         }
         connection = c;
         sent = true;
+        link.requestSent();
         c.send(request.get(), this);
     }
 
@@ -107,6 +112,7 @@
 
     @Override
     public void onHead(int answerStatus, List<Header> answerHeaders) {
+        link.heard();
         status = answerStatus;
         headers = answerHeaders;
         String answeredId = Header.find(answerHeaders, Wire.ATTEMPT_ID).orElse("");
@@ -126,7 +132,12 @@
         if (done) {
             return;
         }
+        link.heard();
         if (passesOn()) {
+            if (!streaming) {
+                streaming = true;
+                link.streamStarted();
+            }
             promptIsRead();
             listener.onStreamData(this, part);
         } else if (body.size() + part.length > MAX_COLLECTED_BYTES) {
@@ -170,6 +181,12 @@
         }
     }
 
+    void serverSilent() {
+        if (!done) {
+            listener.onServerSilent(this);
+        }
+    }
+
     /** Ends the attempt because nothing arrives. */
     void giveUp(String reason) {
         if (!done) {
@@ -200,7 +217,7 @@
     private void close() {
         done = true;
         promptIsRead();
-        link.requestEnded();
+        link.requestEnded(this, sent, streaming);
     }
 
     private void promptIsRead() {
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
@@ -217,6 +217,19 @@
         }
     }
 
+    /** Goes on at another server if that is allowed; otherwise the server may still answer. */
+    @Override
+    public void onServerSilent(Attempt silent) {
+        if (done || silent != attempt) {
+            return;
+        }
+        AttemptState after = state(possibleRuns + 1, parts.retries().mayRepeat(service));
+        NextStep next = AttemptPolicy.next(AttemptEnd.SILENT, after);
+        if (next == NextStep.SEND_AGAIN || next == NextStep.RESUME) {
+            silent.giveUp("the server is silent");
+        }
+    }
+
     @Override
     public void onAttemptEnd(Attempt ended, AttemptEnd end, String reason) {
         if (done || ended != attempt) {
@@ -245,18 +258,17 @@
     }
 
     private AttemptState stateAfter(AttemptEnd end) {
-        boolean timeLeft = timeLeft() > MIN_ATTEMPT_MS;
+        NextStep wish = AttemptPolicy.next(end, state(possibleRuns, true));
+        boolean repeats = wish == NextStep.SEND_AGAIN || wish == NextStep.RESUME;
+        boolean arrived = end != AttemptEnd.NOT_CONNECTED;
+        return state(possibleRuns, !repeats || !arrived || parts.retries().tryRepeat(service));
+    }
+
+    private AttemptState state(int runs, boolean retryAllowed) {
         boolean serverLeft = parts.links().usable(service).stream()
                 .anyMatch(l -> !tried.contains(l.server().id()));
-        boolean arrived = end != AttemptEnd.NOT_CONNECTED;
-        boolean couldRepeat = end != AttemptEnd.ANSWERED && timeLeft && serverLeft;
-        AttemptState without = new AttemptState(
-                route.repeat(), possibleRuns, route.maxAttempts(), started, timeLeft && serverLeft, true);
-        NextStep wish = AttemptPolicy.next(end, without);
-        boolean repeats = couldRepeat && (wish == NextStep.SEND_AGAIN || wish == NextStep.RESUME);
-        boolean allowed = !repeats || !arrived || parts.retries().tryRepeat(service);
-        return new AttemptState(
-                route.repeat(), possibleRuns, route.maxAttempts(), started, timeLeft && serverLeft, allowed);
+        boolean timeLeft = timeLeft() > MIN_ATTEMPT_MS && serverLeft;
+        return new AttemptState(route.repeat(), runs, route.maxAttempts(), started, timeLeft, retryAllowed);
     }
 
     /** Avoids a server that cannot be reached, or whose address belongs to another one by now. */
@@ -354,7 +366,7 @@
         int perEvent = spec.flatMap(ServiceSpec::engine)
                 .map(EngineSpec::tokensPerEvent)
                 .orElse(1);
-        tokens.end(possibleRuns > 0 || status / 100 == 2, eventsPassedOn * perEvent);
+        long used = tokens.end(possibleRuns > 0 || status / 100 == 2, eventsPassedOn * perEvent);
         long took = parts.clock().millis() - arrivedMs;
         parts.metrics().counter("requests." + outcome).inc();
         parts.metrics()
@@ -374,6 +386,7 @@
                 .field("ms", took)
                 .field("firstEventMs", firstEventMs)
                 .field("events", eventsPassedOn)
+                .field("tokens", used)
                 .field("limitMs", deadlineMs - arrivedMs)
                 .write();
         onDone.run();
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/RetryShares.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/RetryShares.java
@@ -31,6 +31,11 @@
         return share(service).tryRepeat(instances.getAsInt());
     }
 
+    /** Returns whether a repeat would be allowed now. */
+    boolean mayRepeat(String service) {
+        return share(service).mayRepeat(instances.getAsInt());
+    }
+
     private RetryShare share(String service) {
         EntrySettings now = settings.get();
         if (!now.equals(applied)) {
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerLink.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerLink.java
@@ -2,6 +2,7 @@
 
 import io.hornbeamfield.core.discovery.BackendServer;
 import io.hornbeamfield.core.placement.EventGap;
+import io.hornbeamfield.core.placement.SilenceWatch;
 import io.hornbeamfield.entry.Timers;
 import io.hornbeamfield.net.relay.ConnectListener;
 import io.hornbeamfield.net.relay.OutboundConnection;
@@ -9,6 +10,9 @@
 import java.time.Clock;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /** Connections to one backend server, and what this instance has going on there. */
@@ -30,6 +34,8 @@
     private final RelayTransport transport;
     private final Deque<Idle> idle = new ArrayDeque<>();
     private final EventGap eventGap = new EventGap();
+    private final SilenceWatch silence = new SilenceWatch();
+    private final Set<Attempt> attempts = new HashSet<>();
     private BackendServer server;
     private long idleLimitMs = DEFAULT_IDLE_MS;
     private int connections;
@@ -74,17 +80,46 @@
         return connections;
     }
 
-    void requestStarted(long promptTokens) {
+    void requestStarted(Attempt attempt, long promptTokens) {
         outstanding++;
         promptTokensAhead += promptTokens;
+        attempts.add(attempt);
+    }
+
+    /** Records that the request of an attempt was written to the server. */
+    void requestSent() {
+        silence.sent(clock.millis());
+    }
+
+    /** Records that something arrived from the server. */
+    void heard() {
+        silence.heard(clock.millis());
+    }
+
+    void streamStarted() {
+        silence.streamStarted();
+    }
+
+    /** Returns whether the server has been silent for longer than its requests explain. */
+    boolean isSilent() {
+        return silence.isSilent(clock.millis());
+    }
+
+    /** Tells all attempts at this server that it is silent. */
+    void reportSilence() {
+        List.copyOf(attempts).forEach(Attempt::serverSilent);
     }
 
     void promptRead(long promptTokens) {
         promptTokensAhead -= promptTokens;
     }
 
-    void requestEnded() {
+    void requestEnded(Attempt attempt, boolean sent, boolean streaming) {
         outstanding--;
+        attempts.remove(attempt);
+        if (sent) {
+            silence.ended(streaming);
+        }
     }
 
     /** Takes over a new announcement; another incarnation has none of the connections. */
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerLinks.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerLinks.java
@@ -1,6 +1,7 @@
 package io.hornbeamfield.entry.traffic;
 
 import io.hornbeamfield.core.discovery.BackendServer;
+import io.hornbeamfield.core.route.ServiceSpec;
 import io.hornbeamfield.entry.Blackboard;
 import io.hornbeamfield.entry.EventLog;
 import io.hornbeamfield.entry.Timers;
@@ -28,6 +29,9 @@
     /** A health check waits for a slot like any request, so it may take as long as one. */
     private static final long CHECK_TIMEOUT_MS = 1_000;
 
+    /** Twice the usual time between two ticks. */
+    private static final long LONGEST_TICK_MS = 500;
+
     private static final int OK = 200;
 
     private final Clock clock;
@@ -38,6 +42,7 @@
     private final Map<String, ServerLink> links = new HashMap<>();
     private final Map<String, Integer> suspensions = new HashMap<>();
     private final Set<String> suspended = new HashSet<>();
+    private long lastTickMs;
 
     ServerLinks(Clock clock, Timers timers, RelayTransport transport, Blackboard blackboard, EventLog log) {
         this.clock = clock;
@@ -94,8 +99,15 @@
         link.acquire(Integer.MAX_VALUE, check);
     }
 
-    /** Ends idle connections and forgets servers that are gone. */
+    /** Avoids servers that have gone silent, ends idle connections and forgets servers that are gone. */
     void tick() {
+        long now = clock.millis();
+        // After a pause of this process, what the servers said meanwhile is still to be read.
+        boolean punctual = now - lastTickMs <= LONGEST_TICK_MS;
+        lastTickMs = now;
+        if (punctual) {
+            links.values().stream().filter(ServerLink::isSilent).toList().forEach(this::silent);
+        }
         for (Iterator<ServerLink> i = links.values().iterator(); i.hasNext(); ) {
             ServerLink link = i.next();
             link.trim();
@@ -110,6 +122,18 @@
         }
     }
 
+    private void silent(ServerLink link) {
+        if (!suspended.contains(link.server().id())) {
+            String path = blackboard
+                    .config()
+                    .flatMap(c -> c.service(link.server().service()))
+                    .map(ServiceSpec::healthPath)
+                    .orElse("/");
+            suspend(link, path, "silent with " + link.outstanding() + " requests");
+        }
+        link.reportSilence();
+    }
+
     int connections() {
         return links.values().stream().mapToInt(ServerLink::connections).sum();
     }
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/TokenReservation.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/TokenReservation.java
@@ -94,17 +94,20 @@
      *
      * @param ran whether a server may have run the request; then its whole prompt is used
      * @param outputTokens most output tokens that were passed on
+     * @return the tokens that were used
      */
-    void end(boolean ran, long outputTokens) {
+    long end(boolean ran, long outputTokens) {
         PrepaidQueue.Waiting w = waiting;
         if (w != null) {
             waiting = null;
             w.cancel();
         }
-        if (reserved > 0) {
-            long used = ran ? head.promptTokens() + Math.min(head.maxOutputTokens(), outputTokens) : 0;
-            parts.book().settle(workspace, reserved, used);
-            reserved = 0;
+        if (reserved == 0) {
+            return 0;
         }
+        long used = ran ? head.promptTokens() + Math.min(head.maxOutputTokens(), outputTokens) : 0;
+        parts.book().settle(workspace, reserved, used);
+        reserved = 0;
+        return used;
     }
 }
--- a/entry/src/test/java/io/hornbeamfield/entry/EntryRelayTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/EntryRelayTest.java
@@ -6,9 +6,15 @@
 import io.hornbeamfield.net.relay.InboundRequest;
 import io.hornbeamfield.platform.standin.RunnerStandIn;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -153,6 +159,49 @@
         assertThat(answer).contains("id: 3\ndata: piece 3").doesNotContain("id: 3\ndaid");
     }
 
+    /**
+     * Failure seen on trouble-1 of lampka: an engine went dark, its streams were held until their callers gave up, and
+     * new ones were sent there meanwhile.
+     */
+    @Test
+    void streamsOfAServerThatGoesDarkGoOnAtAnotherOneAndNewOnesAvoidIt() throws InterruptedException {
+        RunnerStandIn dark = fleet.runner("i-1", "model");
+        dark.behaves(r -> {
+            r.start(200, RunnerStandIn.signed(r));
+            r.write(RunnerStandIn.event(1));
+        });
+        dark.healthy(false);
+        fleet.configure(1);
+        fleet.startReady();
+        ExecutorService callers = Executors.newCachedThreadPool();
+        List<Future<Caller>> streams = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            streams.add(callers.submit(() -> fleet.call("POST", "/chat/x")));
+        }
+        EntryFixture.await(() -> dark.arrivals().size() == 3);
+        RunnerStandIn other = fleet.runner("i-2", "model");
+        other.behaves(r -> {
+            String last = r.header("Last-Event-Id");
+            r.start(200, RunnerStandIn.signed(r));
+            r.write(RunnerStandIn.event(last == null ? 1 : Long.parseLong(last) + 1));
+            r.end();
+        });
+        for (Future<Caller> s : streams) {
+            assertThat(answerOf(s).all()).contains("piece 1", "piece 2", "0\r\n\r\n");
+        }
+        assertThat(fleet.call("POST", "/report/x").all()).contains("piece 1", "0\r\n\r\n");
+        assertThat(dark.arrivals()).hasSize(3);
+        callers.shutdown();
+    }
+
+    private static Caller answerOf(Future<Caller> stream) throws InterruptedException {
+        try {
+            return stream.get(10, TimeUnit.SECONDS);
+        } catch (ExecutionException | TimeoutException e) {
+            throw new AssertionError("The stream has no answer.", e);
+        }
+    }
+
     @Test
     void aBrokenStreamThatMayRunOnceEndsWithoutLookingComplete() {
         RunnerStandIn runner = fleet.runner("i-1", "model");
