--- a/core/src/main/java/io/hornbeamfield/core/placement/SilenceWatch.java
+++ b/core/src/main/java/io/hornbeamfield/core/placement/SilenceWatch.java
@@ -3,8 +3,8 @@
 /**
  * Notices that a server with requests of this instance says nothing on any connection. Not thread-safe.
  *
- * <p>Answers the load in which a server goes dark without closing its connections: each instance would send to it until
- * its own callers give up, seconds later.
+ * <p>Answers the load in which a server stops responding without closing its connections: each instance would send to
+ * it until its own callers give up, seconds later.
  */
 public final class SilenceWatch {
     /** Twice the longest pause between two events that is on time, 250 ms, and a lost packet that is sent again. */
--- a/core/src/test/java/io/hornbeamfield/core/placement/SilenceWatchTest.java
+++ b/core/src/test/java/io/hornbeamfield/core/placement/SilenceWatchTest.java
@@ -4,13 +4,16 @@
 
 import org.junit.jupiter.api.Test;
 
-/** Guards against requests that are sent to a dark server for seconds, and against healthy servers that are avoided. */
+/**
+ * Guards against requests that are sent to an unresponsive server for seconds, and against healthy servers that are
+ * avoided.
+ */
 final class SilenceWatchTest {
     private final SilenceWatch watch = new SilenceWatch();
 
-    /** Load pattern of lampka trouble-1: an engine goes dark while it serves streams. */
+    /** Load pattern of lampka trouble-1: an engine stops responding while it serves streams. */
     @Test
-    void anEngineThatGoesDarkInTheMiddleOfItsStreamsIsNoticedWithinAThirdOfWhatCallersWait() {
+    void anEngineThatStopsRespondingDuringStreamsIsNoticedWithinAThirdOfWhatCallersWait() {
         stream(0);
         stream(0);
         for (long t = 0; t <= 2_000; t += 50) {
--- a/entry/src/main/java/io/hornbeamfield/entry/control/PrepaidController.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/PrepaidController.java
@@ -3,7 +3,7 @@
 import io.hornbeamfield.core.prepaid.EndedHolder;
 import io.hornbeamfield.core.prepaid.PrepaidBook;
 import io.hornbeamfield.core.prepaid.PrepaidLedger;
-import io.hornbeamfield.core.prepaid.ReturnTime;
+import io.hornbeamfield.core.prepaid.RetryAfter;
 import io.hornbeamfield.entry.EventLog;
 import io.hornbeamfield.net.json.Json;
 import io.hornbeamfield.platform.StoreClient;
@@ -141,7 +141,7 @@
     }
 
     private long retryAfterMs() {
-        return ReturnTime.afterMs(
+        return RetryAfter.delayMs(
                 clock.millis() - lostSinceMs, peers().linked(), peers().known(), ThreadLocalRandom.current());
     }
 
--- a/entry/src/test/java/io/hornbeamfield/entry/EntryRelayTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/EntryRelayTest.java
@@ -160,17 +160,17 @@
     }
 
     /**
-     * Failure seen on trouble-1 of lampka: an engine went dark, its streams were held until their callers gave up, and
-     * new ones were sent there meanwhile.
+     * Failure seen on trouble-1 of lampka: an engine stopped responding, its streams were held until their callers gave
+     * up, and new ones were sent there meanwhile.
      */
     @Test
-    void streamsOfAServerThatGoesDarkGoOnAtAnotherOneAndNewOnesAvoidIt() throws InterruptedException {
-        RunnerStandIn dark = fleet.runner("i-1", "model");
-        dark.behaves(r -> {
+    void streamsOfAnUnresponsiveServerResumeElsewhereAndNewOnesAvoidIt() throws InterruptedException {
+        RunnerStandIn unresponsive = fleet.runner("i-1", "model");
+        unresponsive.behaves(r -> {
             r.start(200, RunnerStandIn.signed(r));
             r.write(RunnerStandIn.event(1));
         });
-        dark.healthy(false);
+        unresponsive.healthy(false);
         fleet.configure(1);
         fleet.startReady();
         ExecutorService callers = Executors.newCachedThreadPool();
@@ -178,7 +178,7 @@
         for (int i = 0; i < 3; i++) {
             streams.add(callers.submit(() -> fleet.call("POST", "/chat/x")));
         }
-        EntryFixture.await(() -> dark.arrivals().size() == 3);
+        EntryFixture.await(() -> unresponsive.arrivals().size() == 3);
         RunnerStandIn other = fleet.runner("i-2", "model");
         other.behaves(r -> {
             String last = r.header("Last-Event-Id");
@@ -190,7 +190,7 @@
             assertThat(answerOf(s).all()).contains("piece 1", "piece 2", "0\r\n\r\n");
         }
         assertThat(fleet.call("POST", "/report/x").all()).contains("piece 1", "0\r\n\r\n");
-        assertThat(dark.arrivals()).hasSize(3);
+        assertThat(unresponsive.arrivals()).hasSize(3);
         callers.shutdown();
     }
 
