--- a/entry/src/main/java/io/hornbeamfield/entry/Blackboard.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/Blackboard.java
@@ -12,6 +12,7 @@
     private volatile @Nullable RouteConfig config;
     private volatile @Nullable Map<String, List<BackendServer>> serversByService;
     private volatile List<Member> members = List.of();
+    private volatile boolean membersKnown;
     private volatile boolean stopping;
 
     /**
@@ -56,9 +57,20 @@
         return members;
     }
 
-    /** Takes over the instances that take requests. */
+    /** Takes over the instances that take requests, once their list was read. */
     public void members(List<Member> next) {
         members = List.copyOf(next);
+        membersKnown = true;
+    }
+
+    /** Takes over this instance, before the list of instances was read. */
+    public void self(Member self) {
+        members = List.of(self);
+    }
+
+    /** Returns the number of instances that take requests, or the given one until their list was read. */
+    public int instances(int untilKnown) {
+        return membersKnown ? Math.max(1, members.size()) : untilKnown;
     }
 
     /** Returns whether this instance is shutting down. */
--- a/entry/src/main/java/io/hornbeamfield/entry/control/MemberController.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/MemberController.java
@@ -67,7 +67,7 @@
         this.log = log;
         this.self = self;
         this.peers = peers;
-        blackboard.members(List.of(self));
+        blackboard.self(self);
     }
 
     void register() {
--- a/entry/src/test/java/io/hornbeamfield/entry/EntryControlTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/EntryControlTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import io.hornbeamfield.core.route.RouteConfig;
 import io.hornbeamfield.net.relay.InboundRequest;
 import io.hornbeamfield.platform.standin.RunnerStandIn;
@@ -128,6 +129,32 @@
         assertThat(served).isLessThanOrEqualTo(9);
     }
 
+    /**
+     * Failure seen on quabbin inc-d791: each instance took a fifth of each total before it had read which others there
+     * are, so that a kill of all stranded several times what the totals can spare.
+     */
+    @Test
+    void anInstanceTakesLittleBeforeItKnowsTheOthers() {
+        fleet.prepaid(64_000);
+        fleet.runner("i-1", "model");
+        fleet.configure(1);
+        fleet.store.leaveListsUnanswered("entries");
+        fleet.startReady();
+        EntryFixture.await(() -> held() > 0);
+        assertThat(held()).isLessThanOrEqualTo(640);
+        fleet.store.leaveListsUnanswered("");
+        EntryFixture.await(() -> held() > 10_000);
+    }
+
+    private long held() {
+        long sum = 0;
+        for (JsonNode tokens :
+                fleet.store.content("prepaid", "ledger").path("taken").path("plots")) {
+            sum += tokens.asLong();
+        }
+        return sum;
+    }
+
     /** Failure seen once in a test run: a request before the first answer of the store got 429 at once. */
     @Test
     void theFirstRequestAfterAStartWaitsForTheStore() {
