Let eight instances of a large fleet hold the tokens

Cause: 86 instances share 24 workspaces. A part of each total at each of them covers no request, so that each request needs a write that conflicts, and most of what is held lies where nobody asks for it.

Change: in a fleet of more than 13, eight instances, those with the most processors, take tokens from the ledger (LedgerWriters). The others link with these and get what each request needs; where none of them has it, they take it from the ledger themselves. Before the list of instances was read an instance takes what a request needs and no more, which replaces the assumed number of instances. Small fleets: as before.

Ruled out: a ledger for each workspace, which needs a write for most requests, some 450 a second.

--- a/core/src/main/java/io/hornbeamfield/core/prepaid/PrepaidAccount.java
+++ b/core/src/main/java/io/hornbeamfield/core/prepaid/PrepaidAccount.java
@@ -14,6 +14,7 @@
     private long used;
     private long reserved;
     private long waiting;
+    private boolean takesDirectly;
     private final TreeMap<Long, Integer> waitingSizes = new TreeMap<>();
 
     void total(long tokens) {
@@ -85,7 +86,19 @@
         if (free < wanted) {
             amount = free / 2;
         }
-        amount = Math.max(0, Math.min(amount, limit == Long.MAX_VALUE ? amount : limit - net()));
+        return giveWithin(amount, limit);
+    }
+
+    /** Hands over no more than is wanted, to an instance that holds nothing; what it uses counts as demand here. */
+    long giveForUse(long wanted, long limit, long nowMs) {
+        long free = Math.max(0, free());
+        long amount = giveWithin(free < wanted ? free / 2 : wanted, limit);
+        demand.used(amount, nowMs);
+        return amount;
+    }
+
+    private long giveWithin(long tokens, long limit) {
+        long amount = Math.max(0, Math.min(tokens, limit == Long.MAX_VALUE ? tokens : limit - net()));
         given += amount;
         return amount;
     }
@@ -102,6 +115,21 @@
     void stopWaiting(long tokens) {
         waiting -= tokens;
         waitingSizes.computeIfPresent(tokens, (size, count) -> count == 1 ? null : count - 1);
+        takesDirectly &= !waitingSizes.isEmpty();
+    }
+
+    /** Lets an instance that holds nothing take what the requests need that wait now. */
+    void takeDirectly() {
+        takesDirectly = !waitingSizes.isEmpty();
+    }
+
+    /** Returns the change of what an instance has taken that is to hold nothing. */
+    long changeWithoutHolding() {
+        if (waitingSizes.isEmpty()) {
+            return -Math.max(0, Math.min(free(), confirmedTaken));
+        }
+        long missing = missing();
+        return takesDirectly && missing <= untaken() ? missing : 0;
     }
 
     long waiting() {
--- a/core/src/main/java/io/hornbeamfield/core/prepaid/PrepaidBook.java
+++ b/core/src/main/java/io/hornbeamfield/core/prepaid/PrepaidBook.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
@@ -28,7 +29,8 @@
 public final class PrepaidBook {
     private final Clock clock;
     private final String holder;
-    private final IntSupplier instances;
+    private final IntSupplier holders;
+    private final BooleanSupplier holds;
     /** Writes that no request waits for; the store counts and prices each call. */
     private static final long MIN_ROUTINE_WRITE_GAP_MS = 1_000;
 
@@ -38,11 +40,23 @@
     private long writtenAtRevision = Long.MIN_VALUE;
     private long nextRoutineWriteMs = Long.MIN_VALUE;
 
-    /** Creates a book of one holder; its name is never used again after this process. */
-    public PrepaidBook(Clock clock, String holder, IntSupplier instances) {
+    /** Creates a book of one of several holders; its name is never used again after this process. */
+    public PrepaidBook(Clock clock, String holder, IntSupplier holders) {
+        this(clock, holder, holders, () -> true);
+    }
+
+    /**
+     * Creates a book.
+     *
+     * @param holder name of this instance's incarnation, never used again after this process
+     * @param holders instances that hold parts of the totals
+     * @param holds whether this instance is one of them
+     */
+    public PrepaidBook(Clock clock, String holder, IntSupplier holders, BooleanSupplier holds) {
         this.clock = clock;
         this.holder = holder;
-        this.instances = instances;
+        this.holders = holders;
+        this.holds = holds;
     }
 
     /** Returns the name of this holder. */
@@ -114,9 +128,19 @@
         return wanted;
     }
 
-    /** Returns the number of instances among which totals are shared. */
-    public int instances() {
-        return Math.max(1, instances.getAsInt());
+    /** Returns the number of instances that hold parts of the totals. */
+    public int holders() {
+        return Math.max(1, holders.getAsInt());
+    }
+
+    /** Returns whether this instance holds parts of the totals, rather than getting what each request needs. */
+    public boolean holds() {
+        return holds.getAsBoolean();
+    }
+
+    /** Lets this instance take what waiting requests need although it holds nothing: no other instance has it. */
+    public synchronized void takeDirectly(String workspace) {
+        account(workspace).ifPresent(PrepaidAccount::takeDirectly);
     }
 
     /** Records that a witness knows limits. */
@@ -169,6 +193,13 @@
                 .orElse(0L);
     }
 
+    /** Hands tokens to an instance that holds nothing, for requests that wait there. */
+    public synchronized long giveForUse(String workspace, long wanted) {
+        return account(workspace)
+                .map(a -> a.giveForUse(wanted, limits.limit(workspace), clock.millis()))
+                .orElse(0L);
+    }
+
     /** Takes over tokens that another instance has handed over. */
     public synchronized void receive(String workspace, long tokens) {
         account(workspace).ifPresent(a -> a.receive(tokens));
@@ -266,7 +297,10 @@
     }
 
     private long change(PrepaidAccount a, long now) {
-        int all = instances();
+        if (!holds()) {
+            return a.changeWithoutHolding();
+        }
+        int all = holders();
         long target = a.target(now, all);
         long missing = a.missing();
         long excess = a.waiting() > 0 ? 0 : HoldPolicy.excess(a.free(), target, a.available(), a.total());
--- a/entry/src/main/java/io/hornbeamfield/entry/Blackboard.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/Blackboard.java
@@ -5,14 +5,22 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /** State that controllers write and the traffic reads. Each value is an immutable snapshot. */
 public final class Blackboard {
+    /**
+     * Number of instances, for shares of what all use together, until their list was read; the deployments have eight
+     * or more. With many more assumed, no request could be retried in the first half second.
+     */
+    private static final int INSTANCES_UNTIL_KNOWN = 8;
+
     private volatile @Nullable RouteConfig config;
     private volatile @Nullable Map<String, List<BackendServer>> serversByService;
     private volatile List<Member> members = List.of();
     private volatile boolean membersKnown;
+    private volatile Set<String> ledgerWriters = Set.of();
     private volatile boolean stopping;
 
     /**
@@ -23,8 +31,15 @@
      * @param callerAddress where callers connect
      * @param readinessAddress where it says whether it takes requests
      * @param peerAddress where other instances connect
+     * @param processors processors that the instance may use
      */
-    public record Member(String name, String zone, String callerAddress, String readinessAddress, String peerAddress) {}
+    public record Member(
+            String name,
+            String zone,
+            String callerAddress,
+            String readinessAddress,
+            String peerAddress,
+            int processors) {}
 
     /** Returns the configuration in force, once one is known. */
     public Optional<RouteConfig> config() {
@@ -68,9 +83,24 @@
         members = List.of(self);
     }
 
-    /** Returns the number of instances that take requests, or the given one until their list was read. */
-    public int instances(int untilKnown) {
-        return membersKnown ? Math.max(1, members.size()) : untilKnown;
+    /** Returns the number of instances that take requests, or an assumption until their list was read. */
+    public int instances() {
+        return membersKnown ? Math.max(1, members.size()) : INSTANCES_UNTIL_KNOWN;
+    }
+
+    /** Takes over the names of the instances that hold parts of prepaid totals. */
+    public void ledgerWriters(Set<String> names) {
+        ledgerWriters = Set.copyOf(names);
+    }
+
+    /** Returns whether an instance holds parts of prepaid totals; nobody is known to before the list was read. */
+    public boolean isLedgerWriter(String name) {
+        return ledgerWriters.contains(name);
+    }
+
+    /** Returns the number of instances that hold parts of prepaid totals. */
+    public int holders() {
+        return ledgerWriters.isEmpty() ? INSTANCES_UNTIL_KNOWN : ledgerWriters.size();
     }
 
     /** Returns whether this instance is shutting down. */
--- a/entry/src/main/java/io/hornbeamfield/entry/EntryProcess.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/EntryProcess.java
@@ -47,12 +47,6 @@
     /** An operator who changes the file without a signal sees the change within seconds. */
     private static final long SETTINGS_CHECK_MS = 2_000;
 
-    /**
-     * Number of instances, for shares of totals, until their list was read. Close to the number in a large deployment:
-     * a share that is too small costs one more write, one that is too large strands tokens when all are killed.
-     */
-    private static final int INSTANCES_FOR_TOTALS_UNTIL_KNOWN = 64;
-
     private final LiveSettings live;
 
     /** As of the start; what can change meanwhile is read from {@link #live}. */
@@ -85,7 +79,8 @@
         book = new PrepaidBook(
                 clock,
                 settings.instance() + "/" + UUID.randomUUID(),
-                () -> blackboard.instances(INSTANCES_FOR_TOTALS_UNTIL_KNOWN));
+                blackboard::holders,
+                () -> blackboard.isLedgerWriter(settings.instance()));
         Timers timers = new Timers(executor, serial);
         control = new Control(settings, clock, executor, http, blackboard, book, log, new Waiters());
         traffic = Traffic.start(live, clock, timers, transport, blackboard, book, control::needTokens, metrics, log);
--- a/entry/src/main/java/io/hornbeamfield/entry/control/Control.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/Control.java
@@ -64,7 +64,8 @@
                 settings.availabilityZone(),
                 settings.callerAddress(),
                 settings.readinessAddress(),
-                settings.peerAddress());
+                settings.peerAddress(),
+                Runtime.getRuntime().availableProcessors());
         peers = new PeerTransfers(
                 clock,
                 book,
--- a/entry/src/main/java/io/hornbeamfield/entry/control/MemberController.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/MemberController.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.hornbeamfield.core.discovery.CheckedInstances;
+import io.hornbeamfield.core.prepaid.LedgerWriters;
 import io.hornbeamfield.entry.Blackboard;
 import io.hornbeamfield.entry.Blackboard.Member;
 import io.hornbeamfield.entry.EventLog;
@@ -51,6 +52,7 @@
     private final Map<String, Long> revisions = new HashMap<>();
     private final Map<String, Integer> failures = new HashMap<>();
     private final Set<String> notReady = new HashSet<>();
+    private Set<String> writers = Set.of();
     private boolean isRegistered;
 
     MemberController(
@@ -109,10 +111,25 @@
             });
         }
         registerAgainIfRemoved();
+        List<LedgerWriters.Candidate> candidates = registered.values().stream()
+                .map(m -> new LedgerWriters.Candidate(m.name(), m.processors()))
+                .toList();
+        writers(LedgerWriters.of(candidates));
         peers.members(registered.values(), self.name());
         publish();
     }
 
+    private void writers(Set<String> names) {
+        if (!names.equals(writers)) {
+            writers = names;
+            blackboard.ledgerWriters(names);
+            log.event("ledger-writers")
+                    .field("writers", String.join(",", names))
+                    .field("instances", registered.size())
+                    .write();
+        }
+    }
+
     private void registerAgainIfRemoved() {
         boolean removed = isRegistered && !registered.containsKey(self.name()) && !blackboard.stopping();
         if (removed) {
--- a/entry/src/main/java/io/hornbeamfield/entry/control/PeerTransfers.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/PeerTransfers.java
@@ -26,6 +26,7 @@
 import java.util.UUID;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -36,8 +37,8 @@
     /** A few times the round trip between two availability zones. */
     private static final long REPLY_TIMEOUT_MS = 25;
 
-    /** A full mesh of a small fleet; larger fleets link each instance with some others. */
-    private static final int MAX_LINKS = 12;
+    /** Links that an instance accepts: in a fleet of 420 each one links with those that write the ledger. */
+    private static final int MAX_LINKS = 512;
 
     /** An instance that had nothing to give is not asked again for this long. */
     private static final long EMPTY_PAUSE_MS = 400;
@@ -45,6 +46,7 @@
     private final Clock clock;
     private final PrepaidBook book;
     private final ScheduledExecutorService control;
+    private final Blackboard blackboard;
     private final EventLog log;
     private final Runnable onReceived;
     private final PeerTransport transport;
@@ -70,6 +72,7 @@
         this.clock = clock;
         this.book = book;
         this.control = control;
+        this.blackboard = blackboard;
         this.log = log;
         this.onReceived = onReceived;
         this.transport = PeerTransport.builder()
@@ -84,7 +87,12 @@
                 .listenOn(self.peerAddress())
                 .maxLinks(MAX_LINKS)
                 .start();
-        this.witnesses = new Witnesses(clock, book, control, log, transport::links, onFreed);
+        this.witnesses = new Witnesses(clock, book, control, log, transport::links, this::mayWitness, onFreed);
+    }
+
+    /** What an instance uses that holds nothing is known to those that gave it. */
+    private boolean mayWitness(PeerLink link) {
+        return book.holds() && isLedgerWriter(link);
     }
 
     Witnesses witnesses() {
@@ -101,15 +109,12 @@
         return dialled.size();
     }
 
-    /** Links with the registered instances, the nearest in the order of names first. */
+    /** Links with the registered instances that write the ledger; in a small fleet these are all. */
     void members(Collection<Member> members, String self) {
-        List<Member> others = members.stream()
-                .filter(m -> !m.name().equals(self))
-                .sorted(Comparator.comparing(m -> (m.name().compareTo(self) < 0 ? "1" : "0") + m.name()))
-                .limit(MAX_LINKS)
-                .toList();
-        Set<String> wanted = new HashSet<>();
-        others.forEach(m -> wanted.add(m.peerAddress()));
+        Set<String> wanted = members.stream()
+                .filter(m -> !m.name().equals(self) && blackboard.isLedgerWriter(m.name()))
+                .map(Member::peerAddress)
+                .collect(Collectors.toSet());
         for (String address : List.copyOf(dialled)) {
             if (!wanted.contains(address)) {
                 dialled.remove(address);
@@ -130,6 +135,7 @@
         }
         long now = clock.millis();
         List<PeerLink> links = new ArrayList<>(transport.links());
+        links.removeIf(l -> !isLedgerWriter(l));
         links.removeIf(l -> emptyUntilMs.getOrDefault(key(l, workspace), Long.MIN_VALUE) > now);
         links.sort(Comparator.comparingLong(l -> -heldByPeer.getOrDefault(key(l, workspace), Long.MAX_VALUE)));
         Round round = new Round(UUID.randomUUID().toString(), workspace, new ArrayDeque<>(links), onNothing);
@@ -137,6 +143,10 @@
         next(round);
     }
 
+    private boolean isLedgerWriter(PeerLink link) {
+        return blackboard.isLedgerWriter(link.peer().instanceId());
+    }
+
     private static String key(PeerLink link, String workspace) {
         return link.peer().incarnation() + " " + workspace;
     }
@@ -194,7 +204,9 @@
     }
 
     private void give(PeerLink link, PeerMessage.TransferRequest request) {
-        long given = book.give(request.budget(), request.tokens());
+        long given = isLedgerWriter(link)
+                ? book.give(request.budget(), request.tokens())
+                : book.giveForUse(request.budget(), request.tokens());
         long held = Math.max(0, book.freeTokens().getOrDefault(request.budget(), 0L));
         link.send(new PeerMessage.TransferGrant(request.transferId(), request.budget(), given, held));
     }
--- a/entry/src/main/java/io/hornbeamfield/entry/control/PrepaidController.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/PrepaidController.java
@@ -94,7 +94,8 @@
                 peers().witnesses().askAbout(ledger, endedHolders);
             }
         }
-        if (!busy && book.needsWrite()) {
+        // Read once without a write too: it may name earlier incarnations of this instance.
+        if (!busy && (seen == null || book.needsWrite())) {
             step();
         }
     }
@@ -106,6 +107,8 @@
             peers().witnesses().raise(workspace, () -> limitRaised(workspace));
         } else if (missing == 0) {
             waiters.holdingsChanged();
+        } else if (!book.holds()) {
+            peers().ask(workspace, () -> takeDirectly(workspace));
         } else if (storeLost || (seen != null && !book.covers(workspace))) {
             tick();
             askPeers(workspace);
@@ -122,6 +125,26 @@
         }
     }
 
+    /** Nobody that holds tokens has any: the ledger tells whether the total has. */
+    private void takeDirectly(String workspace) {
+        book.takeDirectly(workspace);
+        tick();
+        control.schedule(
+                () -> {
+                    if (book.missing(workspace) == 0) {
+                        waiters.holdingsChanged();
+                    } else if (storeLost) {
+                        waiters.unavailable(workspace, retryAfterMs());
+                    } else if (seen != null && !book.covers(workspace)) {
+                        waiters.exhausted(workspace);
+                    } else {
+                        need(workspace);
+                    }
+                },
+                SLOW_STORE_MS,
+                TimeUnit.MILLISECONDS);
+    }
+
     /** Without the store no other witness can be named, so that a silent one leaves nothing to wait for. */
     private void limitRaised(String workspace) {
         if (storeLost && book.limitShort(workspace)) {
@@ -226,7 +249,7 @@
             c.current().ifPresent(this::observe);
             control.schedule(
                     this::step,
-                    backoff.afterConflict(book.instances(), ThreadLocalRandom.current()),
+                    backoff.afterConflict(book.holders(), ThreadLocalRandom.current()),
                     TimeUnit.MILLISECONDS);
         } else {
             // Whether a write without an answer was done shows when the ledger is read.
--- a/entry/src/main/java/io/hornbeamfield/entry/control/Witnesses.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/Witnesses.java
@@ -20,6 +20,7 @@
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
@@ -49,6 +50,7 @@
     private final ScheduledExecutorService control;
     private final EventLog log;
     private final Supplier<List<PeerLink>> links;
+    private final Predicate<PeerLink> mayWitness;
     private final Runnable onChanged;
     private final Map<String, Map<String, Long>> kept = new LinkedHashMap<>();
     private final Set<String> closed = new HashSet<>();
@@ -69,12 +71,14 @@
             ScheduledExecutorService control,
             EventLog log,
             Supplier<List<PeerLink>> links,
+            Predicate<PeerLink> mayWitness,
             Runnable onChanged) {
         this.clock = clock;
         this.book = book;
         this.control = control;
         this.log = log;
         this.links = links;
+        this.mayWitness = mayWitness;
         this.onChanged = onChanged;
     }
 
@@ -83,6 +87,7 @@
         Map<String, PeerLink> linked = linked();
         long now = clock.millis();
         silentUntilMs.values().removeIf(until -> until < now);
+        linked.values().removeIf(mayWitness.negate());
         linked.keySet().removeAll(silentUntilMs.keySet());
         boolean complete = chosen.size() >= Math.min(COUNT, linked.size())
                 && linked.keySet().containsAll(chosen);
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
@@ -146,7 +146,7 @@
     }
 
     private int instances() {
-        return parts.blackboard().instances(Traffic.INSTANCES_UNTIL_KNOWN);
+        return parts.blackboard().instances();
     }
 
     private int maxConnections() {
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/Traffic.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/Traffic.java
@@ -26,12 +26,6 @@
 public final class Traffic {
     private static final long TICK_MS = 250;
 
-    /**
-     * Number of instances, for shares of retries and connections, until their list was read; the deployments have eight
-     * or more. With many more assumed, no request could be retried in the first half second.
-     */
-    static final int INSTANCES_UNTIL_KNOWN = 8;
-
     private final RelayHandler handler;
     private final ServerLinks links;
     private final PrepaidQueue prepaid;
@@ -58,7 +52,7 @@
             EventLog log) {
         ServerLinks links = new ServerLinks(clock, timers, transport, blackboard, log);
         PrepaidQueue prepaid = new PrepaidQueue(book, needTokens);
-        RetryShares retries = new RetryShares(clock, settings, () -> blackboard.instances(INSTANCES_UNTIL_KNOWN));
+        RetryShares retries = new RetryShares(clock, settings, blackboard::instances);
         RelayHandler handler = new RelayHandler(
                 new TrafficParts(clock, timers, blackboard, book, prepaid, links, retries, metrics, log));
         transport.listen(
