--- a/core/src/main/java/io/hornbeamfield/core/prepaid/LedgerWriters.java
+++ b/core/src/main/java/io/hornbeamfield/core/prepaid/LedgerWriters.java
@@ -19,10 +19,10 @@
  * }</pre>
  */
 public final class LedgerWriters {
-    /** Up to here holdings of all instances were measured to work, on sites of eight. */
+    /** Each instance is linked with 12 others then; holdings of all instances were measured on sites of eight. */
     private static final int SMALL_FLEET = 13;
 
-    /** As many as a small fleet: witnesses of each other, and half of them may be lost at once. */
+    /** As on the sites of eight: witnesses of each other, of which half may be lost at once. */
     private static final int COUNT = 8;
 
     /** An instance and the processors of its machine. */
