Report a request that times out while it connects as not sent

Cause: the HTTP client reported every timeout as TIMED_OUT, also when no connection existed yet. A router that is short of processor time then billed a call that had never left it, and a caller kept a key that nobody had seen. Change: a failure before the exchange has a connection is CONNECT_FAILED, which means not sent; such an exchange closes a connection that comes later. Ruled out: a request that is written after the timeout (sendOn closes it).

--- a/net/src/main/java/io/hornbeamfield/net/http/internal/Exchange.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/Exchange.java
@@ -118,10 +118,21 @@
             if (failure.kind() == CallFailure.Kind.TIMED_OUT) {
                 connections.discardIdle(address());
             }
-            listener.onFailure(failure);
+            listener.onFailure(isSent() ? failure : notSent(failure));
         }
     }
 
+    private synchronized boolean isSent() {
+        return connection != null;
+    }
+
+    /** A request that ends before it has a connection is never written, because {@link #sendOn} then closes it. */
+    private static CallFailure notSent(CallFailure failure) {
+        return failure.nothingSent()
+                ? failure
+                : new CallFailure(CallFailure.Kind.CONNECT_FAILED, failure.getMessage() + " It was still connecting.");
+    }
+
     synchronized boolean headArrived() {
         return headArrived;
     }
--- a/net/src/test/java/io/hornbeamfield/net/http/HttpTest.java
+++ b/net/src/test/java/io/hornbeamfield/net/http/HttpTest.java
@@ -8,8 +8,12 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -76,6 +80,44 @@
         assertThat(reply.text()).contains("\"code\":1006", "\"ran\":\"no\"");
     }
 
+    /** A request that never got a connection must not count as one that the server may have run. */
+    @Test
+    void requestThatTimesOutWhileItIsConnectingWasNotSent() throws IOException {
+        try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            List<Socket> queued = new ArrayList<>();
+            for (int i = 0; i < 3; i++) {
+                Socket s = new Socket();
+                queued.add(s);
+                connectUnlessQueueIsFull(s, full.getLocalPort());
+            }
+            CallFailure failure = catchThrowableOfType(
+                    CallFailure.class,
+                    () -> sendAndUnwrap(HttpCall.post("http://127.0.0.1:" + full.getLocalPort() + "/fees")
+                            .timeout(Duration.ofMillis(300))
+                            .build()));
+            assertThat(failure.nothingSent()).isTrue();
+            for (Socket s : queued) {
+                s.close();
+            }
+        }
+    }
+
+    private static void connectUnlessQueueIsFull(Socket s, int port) throws IOException {
+        try {
+            s.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 200);
+        } catch (SocketTimeoutException e) {
+            // The queue of the listener is full, as the test needs it.
+        }
+    }
+
+    private void sendAndUnwrap(HttpCall call) throws Throwable {
+        try {
+            client.send(call).join();
+        } catch (CompletionException e) {
+            throw e.getCause();
+        }
+    }
+
     @Test
     void streamedPartsArriveInOrderOnReusedConnections() {
         for (int i = 0; i < 20; i++) {
