Do not bill a model request that no engine has accepted

Cause: an attempt that is abandoned and whose usage the engine does not report was billed with its whole reservation, also when the engine answered 404 to the resume and to the cancel because it had never received the request. With two processors a connection to an engine may be opened and closed again before the request is written; RouterFrozenTest then finds "P2: request ... never ran but is billed". Change: such an attempt still settles its whole reservation, since the engine may run it late, but it is billed only if the engine answered 200 or reported usage. Ruled out: settling it at 0, which could overspend a budget.

--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/AttemptOutcome.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/AttemptOutcome.java
@@ -2,11 +2,19 @@
 
 import io.hornbeamfield.core.result.Refusal;
 
-/** Outcome of an attempt at a backend server, with the tokens that it spent. */
+/**
+ * Outcome of an attempt at a backend server. The tokens that it spent leave the budget; the billed ones appear on the
+ * bill of the request.
+ */
 sealed interface AttemptOutcome {
     /** Returns the tokens spent. If the usage is unknown, the whole reservation counts as spent. */
     long spent();
 
+    /** Returns the tokens to bill: 0 if there is no evidence that the server has started to run the request. */
+    default long billed() {
+        return spent();
+    }
+
     /** The backend server answered. */
     record Done(AnswerOutcome end, long spent) implements AttemptOutcome {}
 
@@ -27,8 +35,8 @@
     }
 
     /** The outcome at the backend server is unknown. */
-    record Failed(Refusal refusal, long spent) implements AttemptOutcome {}
+    record Failed(Refusal refusal, long spent, long billed) implements AttemptOutcome {}
 
     /** The router cancelled the attempt. */
-    record Cancelled(long spent) implements AttemptOutcome {}
+    record Cancelled(long spent, long billed) implements AttemptOutcome {}
 }
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/Charges.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/Charges.java
@@ -11,21 +11,25 @@
 final class Charges {
     private final TrafficContext context;
     private final CallerRequest request;
-    private long spent;
+    private long billed;
 
     Charges(TrafficContext context, CallerRequest request) {
         this.context = context;
         this.request = request;
     }
 
-    /** Settles the reservation of one attempt. Usage that the engine reports above the reservation is not charged. */
+    /** Settles and bills the same number of tokens for one attempt. */
     void settle(Reservation reservation, long tokens) {
-        if (tokens > reservation.tokens()) {
+        settle(reservation, tokens, tokens);
+    }
+
+    /** Settles the reservation of one attempt. Usage that the engine reports above the reservation is not charged. */
+    void settle(Reservation reservation, long spentTokens, long billedTokens) {
+        if (spentTokens > reservation.tokens()) {
             context.counters().count("usageAboveReservation");
         }
-        long charged = Math.min(tokens, reservation.tokens());
-        context.budgets().settle(reservation, charged);
-        spent += charged;
+        context.budgets().settle(reservation, Math.min(spentTokens, reservation.tokens()));
+        billed += Math.min(billedTokens, reservation.tokens());
     }
 
     /**
@@ -33,12 +37,17 @@
      * {@code billWaitMs} of the preset.
      */
     CompletableFuture<Void> bill(String status) {
-        if (spent == 0) {
+        if (billed == 0) {
             return CompletableFuture.completedFuture(null);
         }
         String id = new LedgerRequestId(request.key(), request.workspace()).text();
         Bill bill = new Bill(
-                id, request.workspace(), request.budget(), spent, request.work().kind(), status);
+                id,
+                request.workspace(),
+                request.budget(),
+                billed,
+                request.work().kind(),
+                status);
         String owner = request.key().owner();
         Optional<String> foreign = owner.equals(context.incarnation()) ? Optional.empty() : Optional.of(owner);
         return context.billing()
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/ModelAttempt.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/ModelAttempt.java
@@ -41,6 +41,7 @@
     private int resumesWithoutProgress;
     private int connectFailures;
     private boolean ended;
+    private boolean accepted;
     private Optional<String> finishReason = Optional.empty();
     private Optional<Usage> usage = Optional.empty();
 
@@ -124,6 +125,7 @@
     void onHead(int status) {
         if (status == 200) {
             connectFailures = 0;
+            accepted = true;
         } else if (connectionNumber == 1) {
             onErrorStatus(status);
         } else {
@@ -182,7 +184,8 @@
     private void finish() {
         if (usage.isPresent() && finishReason.equals(Optional.of(FINISH_REASON_CANCELLED))) {
             Refusal refusal = Refusal.of(ResultCode.BACKEND_FAILED, "The engine cancelled the request. Retry.");
-            end(new AttemptOutcome.Failed(refusal, usage.get().total()));
+            long used = usage.get().total();
+            end(new AttemptOutcome.Failed(refusal, used, used));
             return;
         }
         if (usage.isPresent() && usage.get().completionTokens() == nextOffset) {
@@ -227,7 +230,7 @@
     private void fail(String reason) {
         Refusal refusal = Refusal.of(
                 ResultCode.BACKEND_FAILED, reason + " Send it as a new request if running it twice is safe.");
-        cancelAndReportUsage(spent -> new AttemptOutcome.Failed(refusal, spent));
+        cancelAndReportUsage((spent, billed) -> new AttemptOutcome.Failed(refusal, spent, billed));
     }
 
     @Override
@@ -237,15 +240,26 @@
         }
     }
 
-    /** Cancels the engine request. If its usage cannot be learnt, the whole reservation counts as spent. */
-    private void cancelAndReportUsage(java.util.function.LongFunction<AttemptOutcome> outcomeOf) {
+    /**
+     * Cancels the engine request. If its usage cannot be learnt, the whole reservation counts as spent, because the
+     * engine may still run it. It is billed only if the engine has accepted it: a request that never arrived at an
+     * engine, for example because its connection was closed before it was written, must not appear on a bill.
+     */
+    private void cancelAndReportUsage(CancelledOutcome outcome) {
         ended = true;
         closeConnection();
-        engine.cancel()
-                .thenAcceptAsync(
-                        reported -> listener.ended(
-                                outcomeOf.apply(reported.map(Usage::total).orElse(work.worstCaseTokens()))),
-                        executor);
+        engine.cancel().thenAcceptAsync(reported -> listener.ended(outcomeOf(reported, outcome)), executor);
+    }
+
+    private AttemptOutcome outcomeOf(Optional<Usage> reported, CancelledOutcome outcome) {
+        long spent = reported.map(Usage::total).orElse(work.worstCaseTokens());
+        return outcome.of(spent, accepted || reported.isPresent() ? spent : 0);
+    }
+
+    /** Creates the outcome of a cancelled attempt from the tokens that it spent and those to bill. */
+    @FunctionalInterface
+    private interface CancelledOutcome {
+        AttemptOutcome of(long spent, long billed);
     }
 
     private void end(AttemptOutcome end) {
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/RequestRun.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/RequestRun.java
@@ -216,7 +216,7 @@
             retryWithReservation(held, notSent.refusal());
             return;
         }
-        charges.settle(held, end.spent());
+        charges.settle(held, end.spent(), end.billed());
         reservation = null;
         if (end instanceof AttemptOutcome.Done done) {
             finish(done.end(), "complete");
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/ServiceAttempt.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/ServiceAttempt.java
@@ -65,6 +65,7 @@
             ResultCode code = work.repeatable() ? ResultCode.BACKEND_FAILED : ResultCode.OUTCOME_UNKNOWN;
             listener.ended(new AttemptOutcome.Failed(
                     Refusal.of(code, failure + " Check with the service whether the call took effect."),
+                    work.worstCaseTokens(),
                     work.worstCaseTokens()));
         }
     }
--- a/router/src/test/java/io/hornbeamfield/router/traffic/EngineFailureTest.java
+++ b/router/src/test/java/io/hornbeamfield/router/traffic/EngineFailureTest.java
@@ -108,6 +108,20 @@
         });
     }
 
+    /** An engine that answers 404 to the resume and to the cancel has never seen the request. */
+    @Test
+    void requestThatNeverReachedAnEngineIsNotBilled() {
+        engine.losesRequests = true;
+        engine.losesStreams = true;
+        engine.reportsUsageOnCancel = false;
+        HttpReply reply = router.send(router.chat(true));
+        assertThat(Sse.code(reply)).isEqualTo(4003);
+        assertThat(Sse.ran(reply)).isEqualTo("unknown");
+        assertThat(router.billing.bills).isEmpty();
+        assertThat(router.budgets.spent()).isEqualTo(engine.started.size() * RESERVED);
+        assertThat(router.budgets.openReservations()).isZero();
+    }
+
     @Test
     void lostAttemptIsChargedByTheUsageThatTheCancelTells() {
         engine.breakAt = 2;
--- a/router/src/test/java/io/hornbeamfield/router/traffic/FakeEngine.java
+++ b/router/src/test/java/io/hornbeamfield/router/traffic/FakeEngine.java
@@ -29,6 +29,9 @@
     volatile int silentAt = Integer.MAX_VALUE;
     volatile int refusalStatus;
     volatile boolean losesStreams;
+    /** Whether requests get no answer and leave no trace, as if they had never arrived. */
+    volatile boolean losesRequests;
+
     volatile boolean reportsUsageOnCancel = true;
     final List<ResponseStream> silentStreams = new CopyOnWriteArrayList<>();
 
@@ -48,6 +51,10 @@
         lastBody = Json.parse(x.body());
         lastPriority = x.header("X-Priority").orElseThrow();
         started.add(id);
+        if (losesRequests) {
+            x.startStream(200, Map.of()).abort();
+            return;
+        }
         if (refusalStatus != 0) {
             x.replyJson(refusalStatus, "{}".getBytes(UTF_8));
             return;
