Keep the key of a request that another router may have run

Cause: after an attempt at a router that does not own the key, which runs a repeatable request itself when it cannot reach the owner, the client believed the owner's "not run" refusal. An owner that was paused or cut off does not know what others ran in its place. Change: once an attempt at another router than the owner ended without a whole answer, a "not run" refusal leaves the outcome unknown, with the same key. Ruled out: the other router's own refusals, which the registry weakens already.

--- a/client/src/main/java/io/hornbeamfield/client/internal/RetryingRequest.java
+++ b/client/src/main/java/io/hornbeamfield/client/internal/RetryingRequest.java
@@ -37,6 +37,9 @@
     private Optional<RequestKey> key = Optional.empty();
     private Optional<Refusal> lastRefusal = Optional.empty();
     private boolean mayHaveRun;
+    /** Whether a router that does not own the key may have run the request while it could not reach the owner. */
+    private boolean mayHaveRunElsewhere;
+
     private int attempts;
     private int routerIndex;
     private List<Router> lastRouters = List.of();
@@ -103,11 +106,11 @@
             avoid(router);
             retryUnsent();
         } else if (result instanceof AttemptResult.Incomplete) {
-            mayHaveRun = true;
+            recordPossibleRun(router);
             routerIndex++;
             retryIn(backoff());
         } else if (result instanceof AttemptResult.RouterUnresponsive) {
-            mayHaveRun = true;
+            recordPossibleRun(router);
             avoid(router);
             retryIn(Duration.ZERO);
         } else if (result instanceof AttemptResult.Refused refused) {
@@ -115,6 +118,12 @@
         }
     }
 
+    private void recordPossibleRun(Router router) {
+        mayHaveRun = true;
+        mayHaveRunElsewhere |=
+                key.filter(k -> !k.owner().equals(router.incarnation())).isPresent();
+    }
+
     /** Avoids the router. The other routers keep their order, with those of the own availability zone first. */
     private void avoid(Router router) {
         health.avoid(router);
@@ -142,7 +151,8 @@
             } else {
                 outcome.complete(new Outcome.OutcomeUnknown(refusal));
             }
-        } else if (mayHaveRun && !RetryPolicy.isDecidedAfterKeyLookup(refusal.code())) {
+        } else if (mayHaveRunElsewhere || (mayHaveRun && !RetryPolicy.isDecidedAfterKeyLookup(refusal.code()))) {
+            // An owner that was paused or cut off does not know what other routers ran in the meantime.
             routerIndex++;
             retryIn(backoff());
         } else {
--- a/client/src/test/java/io/hornbeamfield/client/RetryTest.java
+++ b/client/src/test/java/io/hornbeamfield/client/RetryTest.java
@@ -115,6 +115,22 @@
         assertThat(first.keys.get(0)).isEqualTo(second.keys.get(0)).isEqualTo(second.keys.get(1));
     }
 
+    /**
+     * A router that cannot reach the owner of a key runs the request in its place. The owner, paused in the meantime,
+     * refuses its own copy as not run; with a new key the request could run a second time.
+     */
+    @Test
+    void notRunFromTheOwnerLeavesTheOutcomeUnknownOnceAnotherRouterMayHaveRunTheRequest() {
+        first.script.add(FakeRouter.abort());
+        second.script.add(FakeRouter.abort());
+        for (FakeRouter r : List.of(first, second, first)) {
+            r.script.add(FakeRouter.refuse(Refusal.of(ResultCode.OVERLOADED, "")));
+        }
+        assertThat(order()).isInstanceOf(Outcome.OutcomeUnknown.class);
+        assertThat(first.keys).hasSize(3).containsOnly(second.keys.get(0));
+        assertThat(second.keys).hasSize(2).containsOnly(first.keys.get(0));
+    }
+
     @Test
     void unknownOutcomeIsRetriedWithTheSameKey() {
         first.script.add(FakeRouter.abort());
