End streams and responses that are not what a server promises, and no sound one

Three faults that operators of similar systems reported, each shown by a test.

Cause 1: a refusal that bears the id of another request (a second copy that is late on a connection in use again) counted as the refusal of the request in flight: it was sent again or refused as not run while it ran. Change: the id decides first; such a response breaks the attempt. Before: EntryRelayTest.aRefusalOfAnotherRequestDoesNotMakeThisOneNotRun fails on (503 in place of 502). Cause 2: silence was measured in bytes, so a stream whose server sends a byte now and then was resumed only at its deadline. Change: a stream without a whole event for half of its callers' timeout (StallTimeout) is resumed elsewhere if its route allows that. An event without an end now breaks the stream at 256 KiB in place of filling the heap (EventSplitterTest). Change: the routes' declared pause raises the limits; the old ones stay the least.

--- a/core/src/main/java/io/hornbeamfield/core/placement/SilenceDetector.java
+++ b/core/src/main/java/io/hornbeamfield/core/placement/SilenceDetector.java
@@ -7,12 +7,18 @@
  * until its callers give up, seconds later.
  */
 public final class SilenceDetector {
-    /** Silence on several streams: twice the longest regular event interval, 250 ms, and one packet retransmission. */
+    /** Shortest timeout for several streams; leaves time for the retransmission of a packet. */
     static final long MULTIPLE_STREAMS_TIMEOUT_MS = 600;
 
-    /** Silence on a single stream, where a packet may be lost twice. */
+    /** Shortest timeout for a single stream, where a packet may be lost twice. */
     static final long SINGLE_STREAM_TIMEOUT_MS = 1_000;
 
+    private static final int PAUSES_ON_MULTIPLE_STREAMS = 2;
+    private static final int PAUSES_ON_A_SINGLE_STREAM = 4;
+
+    /** Time for the retransmission of a packet. */
+    private static final long RETRANSMISSION_MS = 100;
+
     /** Silence before any answer has started; a server with a full queue answers the last request after about 1 s. */
     static final long FIRST_EVENT_TIMEOUT_MS = 1_500;
 
@@ -48,14 +54,21 @@
         }
     }
 
-    /** Returns whether the server has been silent for longer than its requests in flight can explain. */
-    public boolean isSilent(long nowMs) {
+    /**
+     * Returns whether the server has been silent for longer than its requests in flight can explain.
+     *
+     * @param declaredPauseMs longest pause between two events that the routes of the service declare, 0 if none
+     */
+    public boolean isSilent(long nowMs, long declaredPauseMs) {
         long silentMs = nowMs - lastReceivedMs;
         if (streaming > 1) {
-            return silentMs > MULTIPLE_STREAMS_TIMEOUT_MS;
+            return silentMs
+                    > Math.max(
+                            MULTIPLE_STREAMS_TIMEOUT_MS,
+                            PAUSES_ON_MULTIPLE_STREAMS * declaredPauseMs + RETRANSMISSION_MS);
         }
         if (streaming == 1) {
-            return silentMs > SINGLE_STREAM_TIMEOUT_MS;
+            return silentMs > Math.max(SINGLE_STREAM_TIMEOUT_MS, PAUSES_ON_A_SINGLE_STREAM * declaredPauseMs);
         }
         return waiting > 0 && silentMs > FIRST_EVENT_TIMEOUT_MS;
     }
--- a/core/src/main/java/io/hornbeamfield/core/route/Route.java
+++ b/core/src/main/java/io/hornbeamfield/core/route/Route.java
@@ -14,6 +14,8 @@
  * @param maxAttempts largest number of backend servers that one request may be sent to
  * @param timeoutMs longest time until the answer is complete, in milliseconds
  * @param objectiveMs latency objective in milliseconds: time to the complete answer, or to the first event of a stream
+ * @param eventPauseMs longest pause between two events of a stream that is still on time, in milliseconds; 0 if none is
+ *     declared
  * @param priority priority of the requests; 0 is the most urgent
  * @param open whether requests need no key
  */
@@ -26,6 +28,7 @@
         int maxAttempts,
         long timeoutMs,
         long objectiveMs,
+        long eventPauseMs,
         int priority,
         boolean open) {
 
--- a/core/src/main/java/io/hornbeamfield/core/route/RouteConfig.java
+++ b/core/src/main/java/io/hornbeamfield/core/route/RouteConfig.java
@@ -18,6 +18,7 @@
     private final long version;
     private final Map<String, Map<String, Route>> routesByHost = new HashMap<>();
     private final Map<String, ServiceSpec> services = new HashMap<>();
+    private final Map<String, Long> longestEventPauses = new HashMap<>();
     private final Map<String, WorkspaceAccess> workspacesByKey = new HashMap<>();
     private final Map<String, WorkspaceAccess> workspaces = new HashMap<>();
     private final CallerLimits limits;
@@ -37,6 +38,7 @@
             routesByHost
                     .computeIfAbsent(r.host().toLowerCase(Locale.ROOT), h -> new HashMap<>())
                     .put(r.pathPrefix(), r);
+            r.services().forEach(s -> longestEventPauses.merge(s.service(), r.eventPauseMs(), Math::max));
         }
         services.forEach(s -> this.services.put(s.name(), s));
         for (WorkspaceAccess w : workspaces.orElse(List.of())) {
@@ -80,6 +82,11 @@
         return Optional.ofNullable(services.get(name));
     }
 
+    /** Returns the longest pause between two events, in milliseconds, that the routes of a service declare, or 0. */
+    public long longestEventPauseMs(String service) {
+        return longestEventPauses.getOrDefault(service, 0L);
+    }
+
     /** Returns the workspace that a key belongs to. */
     public Optional<WorkspaceAccess> workspaceOf(String key) {
         return Optional.ofNullable(workspacesByKey.get(key));
--- a/core/src/test/java/io/hornbeamfield/core/route/RouteConfigTest.java
+++ b/core/src/test/java/io/hornbeamfield/core/route/RouteConfigTest.java
@@ -27,6 +27,7 @@
                 1_000,
                 100,
                 0,
+                0,
                 false);
     }
 
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/Attempt.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/Attempt.java
@@ -22,6 +22,7 @@
     private final String attemptId;
     private final boolean streamRoute;
     private final long promptTokens;
+    private final long stallTimeoutMs;
     private final Supplier<OutboundRequest> request;
     private final Listener listener;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
@@ -33,6 +34,7 @@
     private int status;
     private List<Header> headers = List.of();
     private boolean declined;
+    private long lastEventMs;
 
     /** Receives the events of an attempt. */
     interface Listener {
@@ -42,7 +44,10 @@
         /** A part of a successful stream has arrived. */
         void onStreamData(Attempt attempt, byte[] part);
 
-        /** The server does not respond to any of its requests; the attempt continues unless the listener ends it. */
+        /**
+         * The server is silent, or the stream has had no event for too long; the attempt continues unless the listener
+         * ends it.
+         */
         void onServerSilent(Attempt attempt);
 
         /** The attempt has ended. */
@@ -54,12 +59,14 @@
             String attemptId,
             boolean streamRoute,
             long promptTokens,
+            long stallTimeoutMs,
             Supplier<OutboundRequest> request,
             Listener listener) {
         this.pool = pool;
         this.attemptId = attemptId;
         this.streamRoute = streamRoute;
         this.promptTokens = promptTokens;
+        this.stallTimeoutMs = stallTimeoutMs;
         this.request = request;
         this.listener = listener;
     }
@@ -118,7 +125,9 @@
         String answeredId = Header.find(answerHeaders, Wire.ATTEMPT_ID).orElse("");
         boolean signed = Header.find(answerHeaders, Wire.SIGNATURE).isPresent();
         declined = Header.find(answerHeaders, Wire.NOT_RUN).isPresent() || answerStatus == Wire.WRONG_SERVER;
-        if (!declined && !answeredId.isEmpty() && !answeredId.equals(attemptId)) {
+        if (!answeredId.isEmpty() && !answeredId.equals(attemptId)) {
+            // A late copy of another request's refusal says nothing about this one, which the server may be running.
+            declined = false;
             discardAndEnd(
                     AttemptOutcome.BROKEN, "the response belongs to attempt " + answeredId + ", not " + attemptId);
         } else if (!declined && status / 100 == 2 && !signed) {
@@ -186,6 +195,28 @@
         }
     }
 
+    /** Records that a whole event of the stream arrived. */
+    void recordEvent(long nowMs) {
+        lastEventMs = nowMs;
+    }
+
+    /** Returns the time of the last whole event, or 0 if none has arrived. */
+    long lastEventMs() {
+        return lastEventMs;
+    }
+
+    /** Returns whether the stream has started and had no whole event for longer than its caller should wait. */
+    boolean isStalled(long nowMs) {
+        return lastEventMs > 0 && nowMs - lastEventMs > stallTimeoutMs;
+    }
+
+    /** Ends the attempt because the server sends bytes that are no valid response. */
+    void endAsBroken(String reason) {
+        if (!done) {
+            discardAndEnd(AttemptOutcome.BROKEN, reason);
+        }
+    }
+
     void reportServerSilent() {
         if (!done) {
             listener.onServerSilent(this);
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/EventSplitter.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/EventSplitter.java
@@ -10,6 +10,9 @@
  * reported, so what a caller has received always ends with a complete event.
  */
 final class EventSplitter {
+    /** A server that sends more without the end of an event sends no events. */
+    static final int MAX_EVENT_BYTES = 256 * 1024;
+
     private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
     private final BiConsumer<OptionalLong, byte[]> onEvent;
@@ -22,8 +25,12 @@
         this.onEvent = onEvent;
     }
 
-    void feed(byte[] bytes) {
+    /** Reads a part of the stream. Returns false if it has an event of more than {@link #MAX_EVENT_BYTES} bytes. */
+    boolean feed(byte[] bytes) {
         for (byte b : bytes) {
+            if (event.size() >= MAX_EVENT_BYTES) {
+                return false;
+            }
             event.write(b);
             if (b == '\n') {
                 endLine();
@@ -32,6 +39,7 @@
                 line.write(b);
             }
         }
+        return true;
     }
 
     /** Returns the bytes after the last complete event. */
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
@@ -4,6 +4,7 @@
 import io.hornbeamfield.core.attempt.AttemptPolicy;
 import io.hornbeamfield.core.attempt.AttemptState;
 import io.hornbeamfield.core.attempt.NextStep;
+import io.hornbeamfield.core.attempt.StallTimeout;
 import io.hornbeamfield.core.result.ResultCode;
 import io.hornbeamfield.core.route.EngineSpec;
 import io.hornbeamfield.core.route.Route;
@@ -68,7 +69,6 @@
     private long lastEventId = -1;
     private long forwardedEvents;
     private long firstEventMs = -1;
-    private long lastEventMs;
 
     RequestFlow(
             TrafficContext context,
@@ -135,10 +135,15 @@
         triedServers.add(pool.server().id());
         attempts++;
         long prompt = route.retryPolicy().isStream() ? head.promptTokens() : 0;
-        Attempt next =
-                new Attempt(pool, head.attemptId(), route.retryPolicy().isStream(), prompt, () -> outbound(pool), this);
+        Attempt next = new Attempt(
+                pool,
+                head.attemptId(),
+                route.retryPolicy().isStream(),
+                prompt,
+                StallTimeout.ms(route.objectiveMs(), route.eventPauseMs()),
+                () -> outbound(pool),
+                this);
         attempt = next;
-        lastEventMs = 0;
         // A partial event of a broken attempt must not be joined with the events of the next attempt.
         splitter = new EventSplitter(this::onEvent);
         scheduleSilenceTimeout(next);
@@ -181,8 +186,9 @@
     @Override
     public void onStreamData(Attempt source, byte[] part) {
         if (source == attempt && !done) {
-            splitter.feed(part);
-            if (request.unsentBytes() > MAX_CALLER_BACKLOG_BYTES) {
+            if (!splitter.feed(part)) {
+                source.endAsBroken("an event exceeds " + EventSplitter.MAX_EVENT_BYTES + " bytes");
+            } else if (request.unsentBytes() > MAX_CALLER_BACKLOG_BYTES) {
                 cancelAttempt();
                 finish("caller-too-slow", 0);
                 request.cut();
@@ -202,10 +208,12 @@
         id.ifPresent(i -> lastEventId = i);
         forwardedEvents++;
         long now = context.clock().millis();
-        if (lastEventMs > 0) {
-            source.pool().eventGap().record(now - lastEventMs);
+        if (id.isPresent()) {
+            if (source.lastEventMs() > 0) {
+                source.pool().eventGap().record(now - source.lastEventMs());
+            }
+            source.recordEvent(now);
         }
-        lastEventMs = now;
         request.write(event);
     }
 
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerConnectionPool.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerConnectionPool.java
@@ -101,8 +101,14 @@
     }
 
     /** Returns whether the server has been silent for longer than its requests in flight can explain. */
-    boolean isSilent() {
-        return silence.isSilent(clock.millis());
+    boolean isSilent(long declaredPauseMs) {
+        return silence.isSilent(clock.millis(), declaredPauseMs);
+    }
+
+    /** Notifies the attempts whose streams are stalled, although the server may send bytes. */
+    void reportStalledStreams() {
+        long now = clock.millis();
+        attempts.stream().filter(a -> a.isStalled(now)).toList().forEach(Attempt::reportServerSilent);
     }
 
     /** Notifies all attempts at this server that it is silent. */
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerConnectionPools.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerConnectionPools.java
@@ -107,10 +107,8 @@
         boolean onSchedule = now - lastTickMs <= MAX_TICK_GAP_MS;
         lastTickMs = now;
         if (onSchedule) {
-            pools.values().stream()
-                    .filter(ServerConnectionPool::isSilent)
-                    .toList()
-                    .forEach(this::suspendSilent);
+            pools.values().stream().filter(this::isSilent).toList().forEach(this::suspendSilent);
+            List.copyOf(pools.values()).forEach(ServerConnectionPool::reportStalledStreams);
         }
         for (Iterator<ServerConnectionPool> i = pools.values().iterator(); i.hasNext(); ) {
             ServerConnectionPool pool = i.next();
@@ -126,6 +124,14 @@
         }
     }
 
+    private boolean isSilent(ServerConnectionPool pool) {
+        long pauseMs = blackboard
+                .config()
+                .map(c -> c.longestEventPauseMs(pool.server().service()))
+                .orElse(0L);
+        return pool.isSilent(pauseMs);
+    }
+
     private void suspendSilent(ServerConnectionPool pool) {
         if (!suspended.contains(pool.server().id())) {
             String path = blackboard
--- a/entry/src/test/java/io/hornbeamfield/entry/EntryRelayTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/EntryRelayTest.java
@@ -135,6 +135,85 @@
                 .doesNotContain("not yours");
     }
 
+    /**
+     * A server may send a second copy of a refusal late, on a connection that is in use again. Guards against taking it
+     * for the refusal of the request that is running there.
+     */
+    @Test
+    void aRefusalOfAnotherRequestDoesNotMakeThisOneNotRun() {
+        List<FakeBackendServer> servers = List.of(fleet.runner("i-1", "plain"), fleet.runner("i-2", "plain"));
+        servers.forEach(s -> s.respondWith(r -> r.reply(
+                503, List.of(new Header("X-Attempt-Id", "other"), new Header("X-Not-Executed", "1")), new byte[0])));
+        fleet.configure(1);
+        fleet.startReady();
+        assertThat(fleet.call("POST", "/write/x").all()).startsWith("HTTP/1.1 502");
+        assertThat(servers.stream().mapToInt(s -> s.receivedRequests().size()).sum())
+                .isEqualTo(1);
+    }
+
+    /** Guards against a server that sends bytes without an end, which would use up the memory of the daemon. */
+    @Test
+    void anEventWithoutAnEndClosesTheConnectionToTheServer() {
+        CompletableFuture<Boolean> closed = new CompletableFuture<>();
+        fleet.runner("i-1", "model").respondWith(r -> {
+            r.onCallerGone(() -> closed.complete(true));
+            r.start(200, FakeBackendServer.signedHeaders(r));
+            r.write(FakeBackendServer.event(1));
+            Thread t = new Thread(() -> {
+                byte[] part = "x".repeat(64 * 1024).getBytes(StandardCharsets.UTF_8);
+                for (int i = 0; i < 64 && !closed.isDone(); i++) {
+                    r.write(part);
+                }
+            });
+            t.setDaemon(true);
+            t.start();
+        });
+        fleet.configure(1);
+        fleet.startReady();
+        String answer = fleet.call("POST", "/report/x", "X-Token-Counts: 10,10").all();
+        assertThat(answer).contains("piece 1").doesNotContain("xxx").doesNotContain("0\r\n\r\n");
+        assertThat(closed.orTimeout(2, TimeUnit.SECONDS).join()).isTrue();
+    }
+
+    /** Guards against a stream that never ends because its server sends a byte now and then but no whole event. */
+    @Test
+    void aStreamWithoutWholeEventsResumesElsewhereWhileItsCallerWaits() {
+        FakeBackendServer stalled = fleet.runner("i-1", "model");
+        stalled.respondWith(r -> {
+            r.start(200, FakeBackendServer.signedHeaders(r));
+            r.write(FakeBackendServer.event(1));
+            trickle(r);
+        });
+        fleet.configure(1);
+        fleet.startReady();
+        try (Caller caller = fleet.call("POST", "/chat/x")) {
+            caller.awaitText("piece 1");
+            fleet.runner("i-2", "model").respondWith(r -> {
+                r.start(200, FakeBackendServer.signedHeaders(r));
+                r.write(FakeBackendServer.event(2));
+                r.end();
+            });
+            long start = System.nanoTime();
+            assertThat(caller.all()).contains("piece 2", "0\r\n\r\n");
+            assertThat(System.nanoTime() - start).isLessThan(TimeUnit.MILLISECONDS.toNanos(2_000));
+        }
+    }
+
+    private static void trickle(InboundRequest r) {
+        Thread t = new Thread(() -> {
+            while (!r.callerGone()) {
+                r.write(":".getBytes(StandardCharsets.UTF_8));
+                try {
+                    Thread.sleep(100);
+                } catch (InterruptedException e) {
+                    return;
+                }
+            }
+        });
+        t.setDaemon(true);
+        t.start();
+    }
+
     /**
      * Guards against a failure in run scale-1: a partial event before the break was joined with the next server's
      * events.
--- a/entry/src/test/java/io/hornbeamfield/entry/traffic/EventSplitterTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/traffic/EventSplitterTest.java
@@ -46,4 +46,16 @@
         assertThat(events).containsExactly("id: 4\r\ndata: a\r\n\r\n");
         assertThat(ids).containsExactly(OptionalLong.of(4));
     }
+
+    /** Guards against a server that sends bytes without an end in place of an event. */
+    @Test
+    void anEventOverTheLimitIsReported() {
+        byte[] part = new byte[64 * 1024];
+        for (int read = 0; read < EventSplitter.MAX_EVENT_BYTES; read += part.length) {
+            assertThat(splitter.feed(part)).isTrue();
+        }
+        assertThat(splitter.feed(part)).isFalse();
+        assertThat(splitter.remainder()).hasSize(EventSplitter.MAX_EVENT_BYTES);
+        assertThat(events).isEmpty();
+    }
 }
