Notice the return of a silent store with short calls

Change: after a failed call, watches wait 0.1 s until one succeeds. The fake store answers watches at the end of their wait, as the real one does, and forgets those that were open when it went silent. Ruled out: longer backoff (600 ms at most). Before: EntryControlTest.aConfigurationWrittenAfterASilenceOfTheStoreIsAdopted WithinTwoSeconds fails with five daemons. After: it passes.

--- a/entry/src/main/java/io/hornbeamfield/entry/control/StoreWatcher.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/StoreWatcher.java
@@ -20,6 +20,12 @@
      */
     private static final Duration WATCH_WAIT = Duration.ofMillis(2_000);
 
+    /**
+     * While the store does not respond, a call that was sent into the silence is not answered when it ends. Short calls
+     * notice the end within the call timeout and a backoff.
+     */
+    private static final Duration RECOVERY_WATCH_WAIT = Duration.ofMillis(100);
+
     /**
      * Batches bursts of changes, such as the registrations after a start, each of which would wake every instance. The
      * delay is far below the seconds within which a change must take effect.
@@ -87,7 +93,8 @@
     }
 
     private void watch(long revision) {
-        store.watch(kind, revision, WATCH_WAIT).whenCompleteAsync((r, f) -> onWatched(revision, r, f), control);
+        Duration wait = consecutiveFailures > 0 ? RECOVERY_WATCH_WAIT : WATCH_WAIT;
+        store.watch(kind, revision, wait).whenCompleteAsync((r, f) -> onWatched(revision, r, f), control);
     }
 
     private void onWatched(long revision, @Nullable WatchResult reply, @Nullable Throwable failure) {
--- a/entry/src/test/java/io/hornbeamfield/entry/EntryControlTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/EntryControlTest.java
@@ -68,6 +68,28 @@
         EntryFixture.await(() -> version(0) == 2);
     }
 
+    /**
+     * Guards against a watch that was sent while the store was silent and is waited for after it responds again: it kept
+     * a daemon on the older configuration for over 2 s. Several daemons send their calls at different moments.
+     */
+    @Test
+    void aConfigurationWrittenAfterASilenceOfTheStoreIsAdoptedWithinTwoSeconds() throws InterruptedException {
+        fleet.runner("i-1", "plain");
+        fleet.configure(1);
+        for (int i = 0; i < 5; i++) {
+            fleet.startReady();
+            Thread.sleep(400);
+        }
+        fleet.store.mode(FakeStore.Mode.SILENT);
+        Thread.sleep(5_000);
+        fleet.store.mode(FakeStore.Mode.NORMAL);
+        fleet.configure(2);
+        Thread.sleep(2_000);
+        assertThat(fleet.entries)
+                .allSatisfy(e -> assertThat(e.blackboard().config().orElseThrow().version())
+                        .isEqualTo(2));
+    }
+
     @Test
     void aDrainingServerGetsNoNewRequests() {
         FakeBackendServer leaving = fleet.runner("i-1", "plain");
