--- a/core/src/main/java/io/hornbeamfield/core/route/Route.java
+++ b/core/src/main/java/io/hornbeamfield/core/route/Route.java
@@ -1,6 +1,7 @@
 package io.hornbeamfield.core.route;
 
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
 /**
@@ -39,6 +40,11 @@
         }
     }
 
+    /** Returns the longest time until the answer is complete in milliseconds, an hour if none is configured. */
+    public long maxDurationMs() {
+        return timeoutMs > 0 ? timeoutMs : TimeUnit.HOURS.toMillis(1);
+    }
+
     /** Picks a service at random, in proportion to the weights. */
     public String pickService(RandomGenerator random) {
         int total = services.stream().mapToInt(WeightedService::weight).sum();
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
@@ -3,6 +3,7 @@
 import io.hornbeamfield.core.attempt.AttemptOutcome;
 import io.hornbeamfield.core.attempt.AttemptPolicy;
 import io.hornbeamfield.core.attempt.AttemptState;
+import io.hornbeamfield.core.attempt.FirstAnswerTimeout;
 import io.hornbeamfield.core.attempt.NextStep;
 import io.hornbeamfield.core.attempt.StallTimeout;
 import io.hornbeamfield.core.result.ResultCode;
@@ -33,12 +34,6 @@
     /** No server could respond to an attempt with less remaining time. */
     private static final long MIN_ATTEMPT_MS = 30;
 
-    /** Leaves a second server enough of the latency objective for a typical response. */
-    private static final double CALL_SILENCE_FACTOR = 0.7;
-
-    /** A busy engine may take up to this multiple of the objective to the first event, which is late by then. */
-    private static final double STREAM_SILENCE_FACTOR = 3;
-
     /** A stream is aborted if its caller has more than this many bytes left to read. */
     private static final long MAX_CALLER_BACKLOG_BYTES = 1024 * 1024;
 
@@ -85,15 +80,11 @@
         this.workspace = workspace;
         this.configVersion = configVersion;
         this.arrivedMs = context.clock().millis();
-        this.deadlineMs = arrivedMs + Math.min(head.timeLeftMs().orElse(Long.MAX_VALUE), timeoutOf(route));
+        this.deadlineMs = arrivedMs + Math.min(head.timeLeftMs().orElse(Long.MAX_VALUE), route.maxDurationMs());
         this.onDone = onDone;
         this.tokens = new TokenReservation(context, head, workspace, this);
     }
 
-    private static long timeoutOf(Route route) {
-        return route.timeoutMs() > 0 ? route.timeoutMs() : TimeUnit.HOURS.toMillis(1);
-    }
-
     void start() {
         context.retries().requestArrived(service);
         request.onCallerGone(this::onCallerGone);
@@ -159,8 +150,7 @@
     /** Ends a silent attempt before the deadline, but only if the request may run again. */
     private void scheduleSilenceTimeout(Attempt watched) {
         if (route.retryPolicy().allowsRerun() && !started && possibleRuns + 1 < route.maxAttempts()) {
-            double factor = route.retryPolicy().isStream() ? STREAM_SILENCE_FACTOR : CALL_SILENCE_FACTOR;
-            long limit = (long) (route.objectiveMs() * factor);
+            long limit = FirstAnswerTimeout.ms(route.retryPolicy(), route.objectiveMs());
             silenceTimer = context.timers().after(limit, () -> {
                 if (attempt == watched && !started && watched.status() == 0) {
                     watched.endAsSilent("no answer within " + limit + " ms");
