Follow the store with as few calls as the deployment allows

Each of 95 instances watched two kinds with waits of 2 s and batches of 0.5 s, whatever the deployment allows. The decision is without I/O; storeContactMs and changeAdoptionMs are new fields of the settings.

--- a/entry/src/main/java/io/hornbeamfield/entry/EntrySettings.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/EntrySettings.java
@@ -21,6 +21,8 @@
  * @param peerSecret shared secret of the instances of a fleet; it prevents accidental links with other fleets
  * @param metricsPort port for metrics and the state dump, 0 to disable them
  * @param storeAddress address of the platform's store
+ * @param storeContactMs time in milliseconds after which an instance that can reach the store must know its state
+ * @param changeAdoptionMs time in milliseconds within which a change in the store must take effect
  * @param graceMs time in milliseconds between SIGTERM and SIGKILL
  * @param retryRatio retries per request that all instances together may send to a service within a window
  * @param retrySlack retries allowed within a window in addition to the ratio
@@ -37,6 +39,8 @@
         String peerSecret,
         int metricsPort,
         String storeAddress,
+        long storeContactMs,
+        long changeAdoptionMs,
         long graceMs,
         double retryRatio,
         double retrySlack,
@@ -55,6 +59,8 @@
                 peerSecret,
                 metricsPort,
                 storeAddress,
+                storeContactMs,
+                changeAdoptionMs,
                 from.graceMs,
                 from.retryRatio,
                 from.retrySlack,
@@ -87,6 +93,8 @@
                     f.text("peerSecret"),
                     (int) f.number("metricsPort", 0, 65_535),
                     f.address("storeAddress"),
+                    (long) f.number("storeContactMs", 1_000, 60_000),
+                    (long) f.number("changeAdoptionMs", 500, 60_000),
                     (long) (f.number("graceSeconds", 0, 3_600) * 1_000),
                     f.number("retryRatio", 0, 10),
                     f.number("retrySlack", 0, 1e6),
--- a/entry/src/main/java/io/hornbeamfield/entry/control/ControlPlane.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/ControlPlane.java
@@ -1,6 +1,7 @@
 package io.hornbeamfield.entry.control;
 
 import io.hornbeamfield.core.discovery.CheckedInstances;
+import io.hornbeamfield.core.discovery.WatchTiming;
 import io.hornbeamfield.core.prepaid.PrepaidHoldings;
 import io.hornbeamfield.entry.Blackboard;
 import io.hornbeamfield.entry.Blackboard.Member;
@@ -56,14 +57,17 @@
                 store, clock, executor, book, log, isEarlierIncarnation(settings, book), tokenListener);
         backends = new BackendController(store, executor, clock, blackboard, log);
         BooleanSupplier largeFleet = () -> CheckedInstances.isLargeFleet(blackboard.instanceCount() - 1);
+        WatchTiming timing =
+                new WatchTiming(settings.storeContactMs(), settings.changeAdoptionMs(), STORE_TIMEOUT.toMillis());
         configs = new StoreWatcher(
                 store,
                 StoreClient.CONFIGURATION_KIND,
                 executor,
                 log,
                 new ConfigController(blackboard, book, log, () -> prepaid().tick()),
+                timing,
                 largeFleet);
-        servers = new StoreWatcher(store, StoreClient.BACKEND_SERVER_KIND, executor, log, backends, largeFleet);
+        servers = new StoreWatcher(store, StoreClient.BACKEND_SERVER_KIND, executor, log, backends, timing, largeFleet);
         Member self = new Member(
                 settings.instance(),
                 settings.availabilityZone(),
--- a/entry/src/main/java/io/hornbeamfield/entry/control/StoreWatcher.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/StoreWatcher.java
@@ -1,5 +1,6 @@
 package io.hornbeamfield.entry.control;
 
+import io.hornbeamfield.core.discovery.WatchTiming;
 import io.hornbeamfield.entry.EventLog;
 import io.hornbeamfield.platform.StoreClient;
 import io.hornbeamfield.platform.StoreList;
@@ -9,32 +10,16 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 
 /** Watches all objects of a kind: lists them, then watches for changes, and lists again when the history is gone. */
 final class StoreWatcher {
-    /**
-     * A dead connection is detected after this time plus the call timeout. The sum stays below the 3 s after which an
-     * instance with new connections counts as reachable again.
-     */
-    private static final Duration WATCH_WAIT = Duration.ofMillis(2_000);
-
     /**
      * While the store does not respond, a call that was sent into the silence is not answered when it ends. Short calls
      * notice the end within the call timeout and a backoff.
      */
     private static final Duration RECOVERY_WATCH_WAIT = Duration.ofMillis(100);
 
-    /**
-     * Batches bursts of changes, such as the registrations after a start, each of which would wake every instance. The
-     * delay is far below the seconds within which a change must take effect.
-     */
-    private static final long CHANGE_DEBOUNCE_MS = 150;
-
-    /** Keeps the call rate of a fleet of 86 at that of a fleet of 26 with the delay above. */
-    private static final long LARGE_FLEET_CHANGE_DEBOUNCE_MS = 500;
-
     private static final long INITIAL_BACKOFF_MS = 50;
 
     /** The store counts every call, including rejected ones; its recovery must be noticed well within a second. */
@@ -56,7 +41,8 @@
     private final ScheduledExecutorService control;
     private final EventLog log;
     private final Listener listener;
-    private final LongSupplier changeDebounceMs;
+    private final WatchTiming timing;
+    private final BooleanSupplier largeFleet;
     private int consecutiveFailures;
 
     StoreWatcher(
@@ -65,13 +51,15 @@
             ScheduledExecutorService control,
             EventLog log,
             Listener listener,
+            WatchTiming timing,
             BooleanSupplier largeFleet) {
         this.store = store;
         this.kind = kind;
         this.control = control;
         this.log = log;
         this.listener = listener;
-        this.changeDebounceMs = () -> largeFleet.getAsBoolean() ? LARGE_FLEET_CHANGE_DEBOUNCE_MS : CHANGE_DEBOUNCE_MS;
+        this.timing = timing;
+        this.largeFleet = largeFleet;
     }
 
     void start() {
@@ -93,7 +81,7 @@
     }
 
     private void watch(long revision) {
-        Duration wait = consecutiveFailures > 0 ? RECOVERY_WATCH_WAIT : WATCH_WAIT;
+        Duration wait = consecutiveFailures > 0 ? RECOVERY_WATCH_WAIT : Duration.ofMillis(timing.watchWaitMs());
         store.watch(kind, revision, wait).whenCompleteAsync((r, f) -> onWatched(revision, r, f), control);
     }
 
@@ -101,7 +89,7 @@
         if (reply instanceof WatchResult.Changes c) {
             onSuccess();
             c.changes().forEach(listener::onChange);
-            long debounceMs = c.changes().isEmpty() ? 0 : changeDebounceMs.getAsLong();
+            long debounceMs = c.changes().isEmpty() ? 0 : timing.changeDebounceMs(largeFleet.getAsBoolean());
             control.schedule(() -> watch(c.revision()), debounceMs, TimeUnit.MILLISECONDS);
         } else if (reply instanceof WatchResult.HistoryGone) {
             onSuccess();
--- a/entry/src/test/java/io/hornbeamfield/entry/EntryFixture.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/EntryFixture.java
@@ -100,6 +100,8 @@
                 "secret",
                 0,
                 store.address(),
+                3_000,
+                2_000,
                 5_000,
                 0.2,
                 50,
--- a/entry/src/test/java/io/hornbeamfield/entry/LiveSettingsTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/LiveSettingsTest.java
@@ -19,6 +19,7 @@
             {"instance": "entry-1", "availabilityZone": "north", "callerAddress": "%s",
              "readinessAddress": "127.0.0.1:2", "directoryAddress": "127.0.0.1:3", "peerAddress": "127.0.0.1:4",
              "peerSecret": "secret", "metricsPort": 0, "storeAddress": "127.0.0.1:5", "graceSeconds": 8,
+             "storeContactMs": 3000, "changeAdoptionMs": 2000,
              "retryRatio": %s, "retrySlack": 56, "retryWindowSeconds": 10, "addressTtlSeconds": 5}
             """;
 
