Log the parts of prompts and whether an answer had begun

The logs could not distinguish the hypotheses of docs/incidents/2026-12-04-prompts-that-crash-servers.md: attempt-ended and request did not name the parts of a prompt, nor whether a broken attempt had received anything. attempt-ended now has answerBegun and parts, request has parts. No line is added and no decision changes.

--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
@@ -92,6 +92,10 @@
         tokens.start(route.objectiveMs());
     }
 
+    private String sharedParts() {
+        return String.join(",", head.sharedPartIds());
+    }
+
     private String workspaceName() {
         return workspace.map(WorkspaceAccess::name).orElse("");
     }
@@ -244,6 +248,8 @@
                     .field("attempt", attempts)
                     .field("end", end.name())
                     .field("reason", reason)
+                    .field("answerBegun", ended.lastEventMs() > 0 ? 1 : 0)
+                    .field("parts", sharedParts())
                     .field("possibleRuns", possibleRuns)
                     .field("leftMs", remainingMs())
                     .field("next", step.name())
@@ -377,6 +383,7 @@
                 .field("route", route.name())
                 .field("service", service)
                 .field("workspace", workspaceName())
+                .field("parts", sharedParts())
                 .field("config", configVersion)
                 .field("servers", String.join(",", triedServers))
                 .field("attempts", attempts)
