Keep reports that only say which parts were served

Such a report now lasts as long as the crashes that it names, and one instance alone removes the reports of instances that have left. CrashJournalTest.evidenceThatOnlyExoneratesLastsAsLongAsTheCrashes guards it.

--- a/core/src/main/java/io/hornbeamfield/core/quarantine/CrashJournal.java
+++ b/core/src/main/java/io/hornbeamfield/core/quarantine/CrashJournal.java
@@ -154,9 +154,13 @@
                 && r.requests().stream().flatMap(Set::stream).noneMatch(p -> activity.refusedSince(p, since));
     }
 
-    /** Returns whether all crashes of this evidence are too old to count. */
+    /** Returns whether all crashes that this evidence reports or exonerates parts from are too old to count. */
     public boolean isExpired(CrashEvidence e) {
-        return e.crashes().stream().allMatch(this::isExpired);
+        long since = clock.millis() - RETENTION_MS;
+        return e.crashes().stream().allMatch(this::isExpired)
+                && e.exonerated().values().stream()
+                        .flatMap(Set::stream)
+                        .allMatch(server -> learnedMs.getOrDefault(server, Long.MIN_VALUE) < since);
     }
 
     /** Returns what the other instances should know. */
--- a/core/src/test/java/io/hornbeamfield/core/quarantine/CrashJournalTest.java
+++ b/core/src/test/java/io/hornbeamfield/core/quarantine/CrashJournalTest.java
@@ -56,6 +56,16 @@
         assertThat(journal.own().crashes()).isEmpty();
     }
 
+    /** Guards against instances that remove the reports of others that only say which parts were served. */
+    @Test
+    void evidenceThatOnlyExoneratesLastsAsLongAsTheCrashes() {
+        crashes(3, "subject", "dead");
+        CrashEvidence served = new CrashEvidence(List.of(), Map.of("subject", Set.of("s1", "s2")));
+        assertThat(journal.isExpired(served)).isFalse();
+        clock.advance(Duration.ofMinutes(61));
+        assertThat(journal.isExpired(served)).isTrue();
+    }
+
     @Test
     void aRestartedInstanceContinuesWithItsEvidenceAndThatOfTheOthers() {
         crashes(2, "dead");
--- a/entry/src/main/java/io/hornbeamfield/entry/control/CrashController.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/CrashController.java
@@ -18,6 +18,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -149,11 +150,16 @@
         }
     }
 
-    /** Removes objects that no longer count, among them those of instances that have left for good. */
+    /** Removes the expired objects of instances that have left for good; one instance does so for all. */
     private void removeExpired(StoreList list) {
+        Set<String> members =
+                blackboard.members().stream().map(Blackboard.Member::name).collect(Collectors.toSet());
+        if (members.stream().anyMatch(m -> m.compareTo(instance) < 0)) {
+            return;
+        }
         for (StoreObject o : list.objects()) {
             boolean expired = decode(o).map(journal::isExpired).orElse(false);
-            if (expired && !o.name().equals(instance)) {
+            if (expired && !members.contains(o.name())) {
                 store.delete(KIND, o.name(), o.revision())
                         .whenCompleteAsync(
                                 (reply, failure) -> log.event("crashes-expired")
