Keep to the request rate that a server announces

Cause: no instance read Server-Limit (hypothesis 1); the answer was relayed as it was and the placement knew nothing of it. Class: a limit that holds for all instances together and that none of them applies.

Change: platform decodes the rate, core.placement.ServerRateShare gives each instance an equal part of it and paces its requests; the first one waits for a random part of the interval, so that 95 instances do not send at once. A server that may not be used now is left out of the placement. If all are, a request waits for up to half of its objective, or is refused with a time to come back. The limit ends with an answer that does not name it.

Why it works: the parts add up to the rate also while instances cannot reach each other; an instance that does not know the limit yet has not been told.

--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/Attempt.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/Attempt.java
@@ -5,6 +5,7 @@
 import io.hornbeamfield.net.relay.OutboundConnection;
 import io.hornbeamfield.net.relay.OutboundListener;
 import io.hornbeamfield.net.relay.OutboundRequest;
+import io.hornbeamfield.platform.ServerRate;
 import io.hornbeamfield.platform.Wire;
 import java.io.ByteArrayOutputStream;
 import java.util.List;
@@ -126,6 +127,7 @@
         pool.recordReceived();
         status = answerStatus;
         headers = answerHeaders;
+        pool.recordRate(ServerRate.of(answerHeaders));
         String answeredId = Header.find(answerHeaders, Wire.ATTEMPT_ID).orElse("");
         boolean signed = Header.find(answerHeaders, Wire.SIGNATURE).isPresent();
         declined = Header.find(answerHeaders, Wire.NOT_RUN).isPresent() || answerStatus == Wire.WRONG_SERVER;
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
@@ -16,12 +16,9 @@
 import io.hornbeamfield.net.relay.InboundRequest;
 import io.hornbeamfield.net.relay.OutboundRequest;
 import io.hornbeamfield.platform.RequestHead;
-import java.util.HashSet;
-import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
@@ -51,11 +48,12 @@
     private final TokenReservation tokens;
     private final PromptParts parts;
     private final ForwardedStream stream;
-    private final Set<String> triedServers = new HashSet<>();
+    private final ServerSelection servers;
     private EventSplitter splitter = new EventSplitter(this::onEvent);
     private @Nullable Attempt attempt;
     private @Nullable Future<?> deadlineTimer;
     private @Nullable Future<?> silenceTimer;
+    private long rateWaitLeftMs;
     private int possibleRuns;
     private int attempts;
     private boolean done;
@@ -79,8 +77,10 @@
         this.configVersion = configVersion;
         this.arrivedMs = context.clock().millis();
         this.deadlineMs = arrivedMs + Math.min(head.timeLeftMs().orElse(Long.MAX_VALUE), route.maxDurationMs());
+        this.rateWaitLeftMs = route.objectiveMs() / 2;
         this.onDone = onDone;
         this.tokens = new TokenReservation(context, head, workspace, this);
+        this.servers = new ServerSelection(context, service, spec, head);
         this.parts = new PromptParts(context, service, head);
         this.stream = new ForwardedStream(request, context.clock());
     }
@@ -129,17 +129,12 @@
             refuseQuarantined();
             return;
         }
-        List<ServerConnectionPool> usable = context.pools().usable(service).stream()
-                .filter(l -> !triedServers.contains(l.server().id()))
-                .toList();
-        Optional<ServerConnectionPool> chosen =
-                ServerSelection.select(usable, spec, head, context.blackboard().instanceCount());
+        Optional<ServerConnectionPool> chosen = servers.next();
         if (chosen.isEmpty()) {
             onNoServer();
             return;
         }
         ServerConnectionPool pool = chosen.get();
-        triedServers.add(pool.server().id());
         attempts++;
         long prompt = route.retryPolicy().isStream() ? head.promptTokens() : 0;
         Attempt next = new Attempt(
@@ -266,9 +261,7 @@
     }
 
     private AttemptState state(int runs, boolean retryAllowed) {
-        boolean serverLeft = context.pools().usable(service).stream()
-                .anyMatch(l -> !triedServers.contains(l.server().id()));
-        boolean timeLeft = remainingMs() > MIN_ATTEMPT_MS && serverLeft;
+        boolean timeLeft = remainingMs() > MIN_ATTEMPT_MS && servers.hasUntried();
         return new AttemptState(
                 route.retryPolicy(), runs, route.maxAttempts(), stream.started(), timeLeft, retryAllowed);
     }
@@ -301,7 +294,15 @@
     }
 
     private void onNoServer() {
-        if (stream.started()) {
+        long waitMs = servers.delayMs().orElse(Long.MAX_VALUE);
+        if (waitMs <= rateWaitLeftMs) {
+            rateWaitLeftMs -= waitMs;
+            context.timers().after(waitMs, () -> {
+                if (!done) {
+                    dispatch();
+                }
+            });
+        } else if (stream.started()) {
             abortStream("no-server-to-resume");
         } else if (possibleRuns > 0) {
             refuse(ResultCode.BACKEND_FAILED, "The backend server failed and no other server is available.", 0);
@@ -377,7 +378,7 @@
                 .field("workspace", workspaceName())
                 .field("parts", parts.describe())
                 .field("config", configVersion)
-                .field("servers", String.join(",", triedServers))
+                .field("servers", servers.describeTried())
                 .field("attempts", attempts)
                 .field("outcome", outcome)
                 .field("status", status)
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerConnectionPool.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerConnectionPool.java
@@ -2,7 +2,10 @@
 
 import io.hornbeamfield.core.discovery.BackendServer;
 import io.hornbeamfield.core.placement.EventInterval;
+import io.hornbeamfield.core.placement.ServerRateShare;
 import io.hornbeamfield.core.placement.SilenceDetector;
+import io.hornbeamfield.entry.Blackboard;
+import io.hornbeamfield.entry.EventLog;
 import io.hornbeamfield.entry.Timers;
 import io.hornbeamfield.net.relay.ConnectListener;
 import io.hornbeamfield.net.relay.OutboundConnection;
@@ -12,7 +15,9 @@
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
+import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import org.jspecify.annotations.Nullable;
 
 /** Connection pool of one backend server, with the requests that this instance has in flight there. */
@@ -29,6 +34,9 @@
     /** Prevents sending a request on an idle connection that the server is about to close. */
     private static final long IDLE_SAFETY_MARGIN_MS = 800;
 
+    private final Blackboard blackboard;
+    private final EventLog log;
+    private final ServerRateShare rate;
     private final Clock clock;
     private final Timers timers;
     private final RelayTransport transport;
@@ -53,7 +61,16 @@
         void onUnavailable(String reason);
     }
 
-    ServerConnectionPool(Clock clock, Timers timers, RelayTransport transport, BackendServer server) {
+    ServerConnectionPool(
+            Clock clock,
+            Timers timers,
+            RelayTransport transport,
+            Blackboard blackboard,
+            EventLog log,
+            BackendServer server) {
+        this.blackboard = blackboard;
+        this.log = log;
+        this.rate = new ServerRateShare(clock);
         this.clock = clock;
         this.timers = timers;
         this.transport = transport;
@@ -80,7 +97,28 @@
         return connections;
     }
 
+    /** Returns this instance's share of the request rate that the server accepts. */
+    ServerRateShare rate() {
+        return rate;
+    }
+
+    /** Records the request rate that an answer of the server announces, empty if it announces none. */
+    void recordRate(OptionalDouble perSecond) {
+        int instances = blackboard.instanceCount();
+        boolean changed =
+                rate.announced(perSecond.isPresent(), perSecond.orElse(0), instances, ThreadLocalRandom.current());
+        if (changed) {
+            log.event("server-rate")
+                    .field("server", server.id())
+                    .field("perSecond", rate.isLimited() ? Double.toString(rate.perSecond()) : "unlimited")
+                    .field("instances", instances)
+                    .field("nextMs", rate.delayMs())
+                    .write();
+        }
+    }
+
     void requestStarted(Attempt attempt, long promptTokens) {
+        rate.requestSent(blackboard.instanceCount());
         outstanding++;
         queuedPromptTokens += promptTokens;
         attempts.add(attempt);
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerConnectionPools.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerConnectionPools.java
@@ -58,8 +58,8 @@
     List<ServerConnectionPool> usable(String service) {
         List<ServerConnectionPool> usable = new ArrayList<>();
         for (BackendServer s : blackboard.servers(service)) {
-            ServerConnectionPool pool =
-                    pools.computeIfAbsent(s.id(), id -> new ServerConnectionPool(clock, timers, transport, s));
+            ServerConnectionPool pool = pools.computeIfAbsent(
+                    s.id(), id -> new ServerConnectionPool(clock, timers, transport, blackboard, log, s));
             pool.update(s);
             if (!suspended.contains(s.id())) {
                 usable.add(pool);
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerSelection.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerSelection.java
@@ -5,16 +5,53 @@
 import io.hornbeamfield.core.placement.ServicePlacement;
 import io.hornbeamfield.core.route.ServiceSpec;
 import io.hornbeamfield.platform.RequestHead;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 
-/** Selects the server for an attempt by the placement policy of its service. */
+/** Selects the servers for the attempts of one request by the placement policy of its service. */
 final class ServerSelection {
-    private ServerSelection() {}
+    private final TrafficContext context;
+    private final String service;
+    private final Optional<ServiceSpec> spec;
+    private final RequestHead head;
+    private final Set<String> tried = new HashSet<>();
 
-    static Optional<ServerConnectionPool> select(
-            List<ServerConnectionPool> usable, Optional<ServiceSpec> spec, RequestHead head, int instances) {
+    ServerSelection(TrafficContext context, String service, Optional<ServiceSpec> spec, RequestHead head) {
+        this.context = context;
+        this.service = service;
+        this.spec = spec;
+        this.head = head;
+    }
+
+    /** Returns the ids of the selected servers for the log. */
+    String describeTried() {
+        return String.join(",", tried);
+    }
+
+    private List<ServerConnectionPool> untried() {
+        return context.pools().usable(service).stream()
+                .filter(l -> !tried.contains(l.server().id()))
+                .toList();
+    }
+
+    /** Returns whether there is a server that has not been selected, although it may limit its rate. */
+    boolean hasUntried() {
+        return !untried().isEmpty();
+    }
+
+    /** Returns the time until a server that has not been selected takes a request, empty if there is none. */
+    OptionalLong delayMs() {
+        return untried().stream().mapToLong(l -> l.rate().delayMs()).min();
+    }
+
+    /** Selects a server that takes a request now and has not been selected before. */
+    Optional<ServerConnectionPool> next() {
+        List<ServerConnectionPool> usable =
+                untried().stream().filter(l -> l.rate().delayMs() == 0).toList();
         List<Candidate> candidates = usable.stream()
                 .map(l -> new Candidate(
                         l.server().id(),
@@ -25,9 +62,15 @@
                 .toList();
         boolean engine = spec.flatMap(ServiceSpec::engine).isPresent();
         Optional<Candidate> selected = engine
-                ? EnginePlacement.choose(head.sharedPrefixId(), head.sharedTokens(), candidates, instances)
+                ? EnginePlacement.choose(
+                        head.sharedPrefixId(),
+                        head.sharedTokens(),
+                        candidates,
+                        context.blackboard().instanceCount())
                 : ServicePlacement.choose(candidates, ThreadLocalRandom.current());
-        return selected.flatMap(
+        Optional<ServerConnectionPool> pool = selected.flatMap(
                 c -> usable.stream().filter(l -> l.server().id().equals(c.id())).findFirst());
+        pool.ifPresent(l -> tried.add(l.server().id()));
+        return pool;
     }
 }
