Refuse prompts that crash engines at the router too

EngineCrashingPromptTest failed with 16 crashes by 8 requests (3 are allowed) and passes now.

Change: a request that loses its engine before its first token reports the prefixes of its prompt; routers exchange what they have seen with their heartbeats, also back to a restarted one, and judge it by core.quarantine as the entry daemon does. A request whose prefixes were at another crash goes to no further engine. Engines report when they started, so that crashes under one id are told apart.

FakeLoad tells incarnations apart. The evidence of one instance is bounded to 32 crashes with 32 requests of 8 parts, which keeps it below the size of an object in the store.

Tests of router, net and core passed together in one run.

--- a/core/src/main/java/io/hornbeamfield/core/quarantine/CrashJournal.java
+++ b/core/src/main/java/io/hornbeamfield/core/quarantine/CrashJournal.java
@@ -33,9 +33,11 @@
     /** A single crash is weak evidence; exonerations need not be told to the others before the second one. */
     private static final int MIN_CRASHES_TO_EXONERATE = 2;
 
-    private static final int MAX_CRASHES = 64;
-    private static final int MAX_REQUESTS_PER_CRASH = 64;
-    private static final int MAX_PARTS_PER_REQUEST = 16;
+    // With these limits the evidence of one instance stays below 600 KB, and an object of the store below its limit.
+    private static final int MAX_CRASHES = 32;
+    private static final int MAX_REQUESTS_PER_CRASH = 32;
+    private static final int MAX_PARTS_PER_REQUEST = 8;
+    private static final int MAX_PART_LENGTH = 64;
     private static final int MAX_KNOWN_CRASHES = 1_024;
 
     private final Clock clock;
@@ -54,7 +56,7 @@
     public void serverCrashed(String service, String server, Collection<String> parts) {
         long servedSinceMs = clock.millis() - SERVED_BEFORE_MS;
         Set<String> suspects = parts.stream()
-                .filter(p -> !activity.servedSince(p, servedSinceMs))
+                .filter(p -> p.length() <= MAX_PART_LENGTH && !activity.servedSince(p, servedSinceMs))
                 .limit(MAX_PARTS_PER_REQUEST)
                 .collect(Collectors.toSet());
         if (suspects.isEmpty()) {
--- a/net/src/main/java/io/hornbeamfield/net/peer/PeerMessage.java
+++ b/net/src/main/java/io/hornbeamfield/net/peer/PeerMessage.java
@@ -1,12 +1,15 @@
 package io.hornbeamfield.net.peer;
 
+import com.fasterxml.jackson.annotation.JsonCreator;
 import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import io.hornbeamfield.core.config.ConfigHead;
 import io.hornbeamfield.core.config.ServerState;
 import io.hornbeamfield.core.config.WorkspaceShard;
+import io.hornbeamfield.core.quarantine.CrashEvidence;
 import java.util.Map;
+import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -39,10 +42,28 @@
 
     /**
      * Signals that the sender is alive and reports its status. The age is the time since the configuration revision was
-     * last confirmed. Revision 0 means that the sender has no configuration.
+     * last confirmed. Revision 0 means that the sender has no configuration. The crashes of backend servers are those
+     * that the sender has learnt of, by the instance that has seen them; older versions omit them.
      */
-    record Heartbeat(long sequence, long configRevision, long configAgeMs, ServerState state, int inFlight)
-            implements PeerMessage {}
+    record Heartbeat(
+            long sequence,
+            long configRevision,
+            long configAgeMs,
+            ServerState state,
+            int inFlight,
+
+            Optional<Map<String, CrashEvidence>> crashes)
+            implements PeerMessage {
+
+        /** Creates a message from its fields. */
+        @JsonCreator
+        public Heartbeat {}
+
+        /** Creates the heartbeat of a router that knows of no crashes. */
+        public Heartbeat(long sequence, long configRevision, long configAgeMs, ServerState state, int inFlight) {
+            this(sequence, configRevision, configAgeMs, state, inFlight, Optional.empty());
+        }
+    }
 
     /** Requests the configuration from a receiver that has the given revision or a newer one. */
     record ConfigRequest(long revision) implements PeerMessage {}
--- a/net/src/main/java/io/hornbeamfield/net/peer/internal/GrizzlyPeerTransport.java
+++ b/net/src/main/java/io/hornbeamfield/net/peer/internal/GrizzlyPeerTransport.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
@@ -109,7 +110,8 @@
                         status.configRevision(),
                         status.configAgeMs(),
                         status.state(),
-                        status.inFlight()));
+                        status.inFlight(),
+                        status.crashes().isEmpty() ? Optional.empty() : Optional.of(status.crashes())));
             }
             link.heartbeatIntervalElapsed();
         }
--- a/router/src/main/java/io/hornbeamfield/router/BackendLoad.java
+++ b/router/src/main/java/io/hornbeamfield/router/BackendLoad.java
@@ -8,6 +8,11 @@
     /** Returns the servers of a pool that may get new work, from configuration, instance list and load reports. */
     List<BackendView> candidates(String pool);
 
+    /** Returns the incarnation of a server, as far as it reports one; a restarted server may keep its id. */
+    default String incarnation(String serverId) {
+        return serverId;
+    }
+
     /** Records that a request was sent to a server. */
     void sent(String serverId);
 
--- a/router/src/main/java/io/hornbeamfield/router/Blackboard.java
+++ b/router/src/main/java/io/hornbeamfield/router/Blackboard.java
@@ -2,6 +2,7 @@
 
 import io.hornbeamfield.core.config.ConfigSnapshot;
 import io.hornbeamfield.core.config.ServerState;
+import io.hornbeamfield.core.quarantine.Quarantine;
 import io.hornbeamfield.core.routing.RouterInfo;
 import java.util.List;
 import java.util.Optional;
@@ -17,6 +18,7 @@
     private volatile Optional<ConfigSnapshot> config = Optional.empty();
     private volatile List<RouterInfo> routers = List.of();
     private volatile ServerState ownState = ServerState.LIVE;
+    private volatile Quarantine quarantine = Quarantine.none();
     private volatile boolean configStale;
     private volatile boolean refusingNewWork;
 
@@ -50,6 +52,16 @@
         ownState = state;
     }
 
+    /** Returns the parts of prompts that crash engines. */
+    public Quarantine quarantine() {
+        return quarantine;
+    }
+
+    /** Publishes the parts of prompts that crash engines. */
+    public void publishQuarantine(Quarantine next) {
+        quarantine = next;
+    }
+
     /** Returns whether the revision in force has not been confirmed in time. */
     public boolean configStale() {
         return configStale;
--- a/router/src/main/java/io/hornbeamfield/router/RouterProcess.java
+++ b/router/src/main/java/io/hornbeamfield/router/RouterProcess.java
@@ -52,6 +52,7 @@
                 control.budgets(),
                 control.billing(),
                 control.backends(),
+                control.crashes(),
                 control.prefixes(),
                 registryLimits(settings)));
         started.set(traffic);
--- a/router/src/main/java/io/hornbeamfield/router/control/RouterControl.java
+++ b/router/src/main/java/io/hornbeamfield/router/control/RouterControl.java
@@ -13,6 +13,7 @@
 import io.hornbeamfield.router.BillingService;
 import io.hornbeamfield.router.Blackboard;
 import io.hornbeamfield.router.BudgetService;
+import io.hornbeamfield.router.CrashService;
 import io.hornbeamfield.router.control.internal.Controllers;
 import java.time.Clock;
 import java.util.concurrent.CompletableFuture;
@@ -54,6 +55,9 @@
     /** Returns the service that records charges. */
     BillingService billing();
 
+    /** Returns the service that shares crashes of engines. */
+    CrashService crashes();
+
     /** Returns the load of the backend servers. */
     BackendLoad backends();
 
--- a/router/src/main/java/io/hornbeamfield/router/control/internal/BackendController.java
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/BackendController.java
@@ -148,6 +148,12 @@
                         : new ServerEntry(id, server, context.now()));
     }
 
+    @Override
+    public String incarnation(String serverId) {
+        ServerEntry entry = entries.get(serverId);
+        return serverId + "/" + (entry == null ? 0 : entry.startedAtMs());
+    }
+
     @Override
     public void sent(String serverId) {
         Optional.ofNullable(entries.get(serverId)).ifPresent(e -> e.sent(context.now()));
--- a/router/src/main/java/io/hornbeamfield/router/control/internal/Controllers.java
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/Controllers.java
@@ -13,6 +13,7 @@
 import io.hornbeamfield.router.BillingService;
 import io.hornbeamfield.router.Blackboard;
 import io.hornbeamfield.router.BudgetService;
+import io.hornbeamfield.router.CrashService;
 import io.hornbeamfield.router.control.ControlLoop;
 import io.hornbeamfield.router.control.RouterControl;
 import io.hornbeamfield.router.control.RouterSettings;
@@ -39,6 +40,7 @@
     private final PeerController peers;
     private final AllotmentController allotments;
     private final LedgerController ledger;
+    private final CrashController crashes;
     private final BackendController backends;
     private final OrdersLease lease;
     private final ModelLoadController modelLoads;
@@ -63,6 +65,7 @@
         this.instances = new InstanceListController(context);
         this.allotments = new AllotmentController(context, dispatcher);
         this.ledger = new LedgerController(context, Duration.ofMillis(s.billingFlushMs()));
+        this.crashes = new CrashController(context, dispatcher, loop.clock());
         this.backends = new BackendController(context, dependencies.http(), instances, prefixes);
         this.lease = new OrdersLease(context);
         this.modelLoads = new ModelLoadController(context, dependencies.http(), backends, lease);
@@ -75,7 +78,8 @@
                         config.revision(),
                         config.confirmationAgeMs(),
                         context.blackboard().ownState(),
-                        dependencies.inFlight().getAsInt()))
+                        dependencies.inFlight().getAsInt(),
+                        crashes.known()))
                 .start();
         this.peers = new PeerController(context, dispatcher, transport, instances, s.peers());
         this.status = new StatusController(context, firstStatus(s, identity, transport.port()));
@@ -136,6 +140,11 @@
         return ledger;
     }
 
+    @Override
+    public CrashService crashes() {
+        return crashes;
+    }
+
     @Override
     public BackendLoad backends() {
         return backends;
--- a/router/src/main/java/io/hornbeamfield/router/control/internal/ServerEntry.java
+++ b/router/src/main/java/io/hornbeamfield/router/control/internal/ServerEntry.java
@@ -23,6 +23,7 @@
     private Set<String> models = Set.of();
     private ServerState reportedState = ServerState.LIVE;
     private boolean hasReport;
+    private long startedAtMs;
     private Instant suspendedUntil = Instant.MIN;
     private Instant lastUsedAt;
     /** Start times of the last load and event calls; confined to the control thread. */
@@ -51,6 +52,7 @@
     synchronized void updateLoad(JsonNode load) {
         running = load.path("running").asInt();
         waiting = load.path("waiting").asInt();
+        startedAtMs = load.path("startedAtMs").asLong();
         Set<String> loaded = new HashSet<>();
         load.path("models").forEach(m -> loaded.add(m.asText()));
         models = Set.copyOf(loaded);
@@ -60,6 +62,11 @@
         finishedSinceReport = 0;
     }
 
+    /** Returns the start of this incarnation of the server in Unix milliseconds, 0 if unknown. */
+    synchronized long startedAtMs() {
+        return startedAtMs;
+    }
+
     synchronized void sent(Instant now) {
         lastUsedAt = now;
         sentSinceReport++;
--- a/router/src/main/java/io/hornbeamfield/router/traffic/TrafficDependencies.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/TrafficDependencies.java
@@ -8,6 +8,7 @@
 import io.hornbeamfield.router.BillingService;
 import io.hornbeamfield.router.Blackboard;
 import io.hornbeamfield.router.BudgetService;
+import io.hornbeamfield.router.CrashService;
 import java.time.Clock;
 
 /**
@@ -15,7 +16,7 @@
  *
  * <pre>{@code
  * new TrafficDependencies("east-1-0f3a9c21", "127.0.0.1:8080", secret, clock, client, metrics, board, budgets,
- *         billing, load, prefixes, limits);
+ *         billing, load, crashes, prefixes, limits);
  * }</pre>
  */
 public record TrafficDependencies(
@@ -29,5 +30,6 @@
         BudgetService budgets,
         BillingService billing,
         BackendLoad load,
+        CrashService crashes,
         PrefixIndex prefixes,
         RegistryLimits registryLimits) {}
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/AttemptOutcome.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/AttemptOutcome.java
@@ -34,8 +34,12 @@
         }
     }
 
-    /** The outcome at the backend server is unknown. */
-    record Failed(Refusal refusal, long spent, long billed) implements AttemptOutcome {}
+    /**
+     * The outcome at the backend server is unknown.
+     *
+     * @param lostBeforeAnswer whether the server was lost with the request before it had answered any of it
+     */
+    record Failed(Refusal refusal, long spent, long billed, boolean lostBeforeAnswer) implements AttemptOutcome {}
 
     /** The router cancelled the attempt. */
     record Cancelled(long spent, long billed) implements AttemptOutcome {}
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/RequestRun.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/RequestRun.java
@@ -34,6 +34,7 @@
     private final BiConsumer<RequestRun, AnswerOutcome> onEnd;
     private final Answer answer = new Answer();
     private final Charges charges;
+    private final PromptQuarantine prompt;
     private final AttemptFactory attemptFactory;
     private final Set<String> triedServers = new HashSet<>();
     private AdmissionQueue.@Nullable Pending pending;
@@ -55,6 +56,7 @@
         Executor steps = MoreExecutors.newSequentialExecutor(context.pool());
         this.executor = step -> steps.execute(() -> runGuarded(step));
         this.charges = new Charges(context, request);
+        this.prompt = new PromptQuarantine(context, request.work());
         this.attemptFactory = new AttemptFactory(context, request, executor, this);
     }
 
@@ -103,6 +105,11 @@
 
     void start() {
         executor.execute(() -> {
+            Optional<Refusal> quarantined = prompt.refusal();
+            if (quarantined.isPresent()) {
+                finishRefused(quarantined.get());
+                return;
+            }
             context.retries().requestStarted(context.preset().retryRatio());
             pending = context.queue()
                     .submit(
@@ -193,11 +200,12 @@
         if (abandoned) {
             return Optional.of(Refusal.of(ResultCode.OUTCOME_UNKNOWN, "The caller disconnected."));
         }
-        return request.deadline().hasPassed(context.clock()) ? Optional.of(deadlinePassed()) : Optional.empty();
+        return request.deadline().hasPassed(context.clock()) ? Optional.of(deadlinePassed()) : prompt.refusal();
     }
 
     @Override
     public void content(Chunk chunk) {
+        prompt.tokenReceived();
         answer.append(chunk);
     }
 
@@ -219,11 +227,12 @@
         charges.settle(held, end.spent(), end.billed());
         reservation = null;
         if (end instanceof AttemptOutcome.Done done) {
+            prompt.answered();
             finish(done.end(), "complete");
         } else if (end instanceof AttemptOutcome.Declined declined) {
             declined(declined);
         } else if (end instanceof AttemptOutcome.Failed failed) {
-            failed(failed);
+            failed(failed, used.id());
         } else {
             finishCancelled();
         }
@@ -249,10 +258,11 @@
         }
     }
 
-    private void failed(AttemptOutcome.Failed failed) {
+    private void failed(AttemptOutcome.Failed failed, String serverId) {
         mayHaveRun = true;
+        boolean suspect = failed.lostBeforeAnswer() && prompt.engineLost(serverId);
         lastFailure = Optional.of(failed.refusal());
-        if (request.work().repeatable() && answer.resetForRetry() && mayRetry()) {
+        if (!suspect && request.work().repeatable() && answer.resetForRetry() && mayRetry()) {
             reserve();
         } else {
             finishRefused(failed.refusal());
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/ServiceAttempt.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/ServiceAttempt.java
@@ -66,7 +66,8 @@
             listener.ended(new AttemptOutcome.Failed(
                     Refusal.of(code, failure + " Check with the service whether the call took effect."),
                     work.worstCaseTokens(),
-                    work.worstCaseTokens()));
+                    work.worstCaseTokens(),
+                    false));
         }
     }
 
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/TrafficContext.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/TrafficContext.java
@@ -8,6 +8,7 @@
 import io.hornbeamfield.router.BillingService;
 import io.hornbeamfield.router.Blackboard;
 import io.hornbeamfield.router.BudgetService;
+import io.hornbeamfield.router.CrashService;
 import java.time.Clock;
 import java.util.concurrent.Executor;
 import java.util.concurrent.ScheduledExecutorService;
@@ -19,6 +20,7 @@
         BudgetService budgets,
         BillingService billing,
         BackendLoad load,
+        CrashService crashes,
         HttpClient client,
         Clock clock,
         ScheduledExecutorService timer,
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/TrafficServer.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/TrafficServer.java
@@ -62,6 +62,7 @@
                 dependencies.budgets(),
                 dependencies.billing(),
                 dependencies.load(),
+                dependencies.crashes(),
                 dependencies.client(),
                 dependencies.clock(),
                 timer,
--- a/router/src/test/java/io/hornbeamfield/router/traffic/EngineCrashingPromptTest.java
+++ b/router/src/test/java/io/hornbeamfield/router/traffic/EngineCrashingPromptTest.java
@@ -47,6 +47,8 @@
             engines.add(engine);
             router.load.add("models", "e" + i, engine.address());
         }
+        // Each crash ends an incarnation; the test's engines are restarted under the same id.
+        router.load.incarnations = id -> id + "/" + crashes();
         int number = 0;
         while (crashes() < CRASHES_BEFORE_THE_BOUND) {
             send(number++);
--- a/router/src/test/java/io/hornbeamfield/router/traffic/FakeLoad.java
+++ b/router/src/test/java/io/hornbeamfield/router/traffic/FakeLoad.java
@@ -9,11 +9,13 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.UnaryOperator;
 
 /** Backend servers by pool and id, with the requests outstanding at each. */
 final class FakeLoad implements BackendLoad {
     final Map<String, Map<String, String>> addresses = new ConcurrentHashMap<>();
     final List<String> failedConnects = new CopyOnWriteArrayList<>();
+    volatile UnaryOperator<String> incarnations = id -> id;
     private final Map<String, Integer> outstanding = new ConcurrentHashMap<>();
 
     void add(String pool, String id, String address) {
@@ -38,6 +40,11 @@
                 .toList();
     }
 
+    @Override
+    public String incarnation(String serverId) {
+        return incarnations.apply(serverId);
+    }
+
     @Override
     public void sent(String serverId) {
         outstanding.merge(serverId, 1, Integer::sum);
--- a/router/src/test/java/io/hornbeamfield/router/traffic/TestRouter.java
+++ b/router/src/test/java/io/hornbeamfield/router/traffic/TestRouter.java
@@ -39,6 +39,7 @@
     final FakeBudgets budgets = new FakeBudgets(100_000);
     final FakeBilling billing = new FakeBilling();
     final FakeLoad load = new FakeLoad();
+    final LocalCrashes crashes = new LocalCrashes(board);
     final HttpClient client = HttpClient.create("test");
     final Clock clock = MonotonicClock.start();
     final Traffic traffic;
@@ -57,6 +58,7 @@
                 budgets,
                 billing,
                 load,
+                crashes,
                 new PrefixIndex(100),
                 RegistryLimits.of(1_000, 1 << 20)));
         board.publishRouters(List.of(info()));
--- a/standins/src/main/java/io/hornbeamfield/standins/engine/internal/EngineApi.java
+++ b/standins/src/main/java/io/hornbeamfield/standins/engine/internal/EngineApi.java
@@ -22,6 +22,7 @@
     private static final String STREAMS = "/v1/streams/";
 
     private final EngineSetup setup;
+    private final long startedAtMs;
     private final ScheduledExecutorService timer = Answers.timer("engine-timer");
     private final ExecutorService writers = Executors.newCachedThreadPool(r -> {
         Thread t = new Thread(r, "engine-writer");
@@ -40,6 +41,7 @@
 
     public EngineApi(EngineSetup setup) {
         this.setup = setup;
+        startedAtMs = setup.clock().millis();
         cacheEvents = new CacheEvents(setup.clock(), setup.cacheEventLag(), setup.cacheEventGaps(), setup.seed());
         cache = new PrefixCache(setup.cacheTokens(), cacheEvents::add);
         batch = new Batch(setup.timing(), cache, setup.clock(), () -> faults.slowdown());
@@ -80,7 +82,7 @@
     private LoadReport report() {
         double kvUsed = Math.min(1, (double) (batch.contextTokens() + cache.usedTokens()) / (2 * setup.cacheTokens()));
         String state = faults.leaving() ? "leaving" : "live";
-        return new LoadReport(batch.runningCount(), batch.waitingCount(), kvUsed, models.loaded(), state);
+        return new LoadReport(batch.runningCount(), batch.waitingCount(), kvUsed, models.loaded(), state, startedAtMs);
     }
 
     private void complete(HttpExchange x) {
