--- a/entry/src/main/java/io/hornbeamfield/entry/control/CrashController.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/CrashController.java
@@ -101,14 +101,20 @@
     }
 
     private void onRead(@Nullable StoreList list, @Nullable Throwable failure) {
-        if (list == null) {
-            log.event("crashes-unread").field("reason", String.valueOf(failure)).write();
-        } else if (list.revision() >= readRevision) {
-            readRevision = list.revision();
-            readMs = clock.millis();
-            apply(list);
+        try {
+            if (list == null) {
+                log.event("crashes-unread")
+                        .field("reason", String.valueOf(failure))
+                        .write();
+            } else if (list.revision() >= readRevision) {
+                readRevision = list.revision();
+                readMs = clock.millis();
+                apply(list);
+            }
+        } finally {
+            long delayMs = isAlert() ? ALERT_READ_INTERVAL_MS : READ_INTERVAL_MS;
+            control.schedule(this::read, delayMs, TimeUnit.MILLISECONDS);
         }
-        control.schedule(this::read, isAlert() ? ALERT_READ_INTERVAL_MS : READ_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
 
     private void apply(StoreList list) {
