Do not resume a quarantined stream whose server crashed at its start

A stream that had received an event and whose part was quarantined while it ran would have been resumed at a further server: its crashes count as explained, so that it was no suspect any more, and a stream that has begun is not refused.

--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/PromptParts.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/PromptParts.java
@@ -56,8 +56,9 @@
     }
 
     /**
-     * Reports a request whose answer had not begun when its server closed the connection. Returns whether servers
-     * crashed under other requests with one of its parts, so that it must not be sent to a further server.
+     * Reports a request whose answer had not begun, or only just, when its server closed the connection. Returns
+     * whether servers crashed under other requests with one of its parts, so that it must not be sent to a further
+     * server.
      */
     boolean reportIfSuspect(Attempt ended, AttemptOutcome end) {
         boolean answerBegun = served || ended.hasOutlivedStart(context.clock().millis());
@@ -67,6 +68,6 @@
         BackendServer server = ended.pool().server();
         String incarnation = server.id() + "/" + server.startedAtMs();
         context.crashListener().serverCrashed(service, incarnation, requestId, ids);
-        return context.blackboard().quarantine().isSuspect(service, ids, incarnation);
+        return isQuarantined() || context.blackboard().quarantine().isSuspect(service, ids, incarnation);
     }
 }
