Treat a stream that ends inside an event as broken off

The daemon delivered such a stream as complete when its server ended in order inside an event, with the part of the event, and an answer without any event as an empty stream. A server that crashes so would also have counted as one that had answered.

Such a stream now counts as broken: it is resumed where its route allows that, otherwise the caller's connection is closed, or 502 is sent if nothing was. A stream that ends after a whole event cannot be told from a complete one.

--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
@@ -96,10 +96,6 @@
         tokens.start(route.objectiveMs());
     }
 
-    private String workspaceName() {
-        return workspace.map(WorkspaceAccess::name).orElse("");
-    }
-
     @Override
     public void onReserved() {
         dispatch();
@@ -223,10 +219,11 @@
     }
 
     @Override
-    public void onAttemptEnd(Attempt ended, AttemptOutcome end, String reason) {
+    public void onAttemptEnd(Attempt ended, AttemptOutcome outcome, String reason) {
         if (done || ended != attempt) {
             return;
         }
+        AttemptOutcome end = isTruncatedStream(ended, outcome) ? AttemptOutcome.BROKEN : outcome;
         attempt = null;
         cancel(silenceTimer);
         boolean mayHaveRun = end != AttemptOutcome.NOT_CONNECTED && end != AttemptOutcome.DECLINED;
@@ -253,6 +250,12 @@
         execute(step, ended, reason);
     }
 
+    /** A stream without a length may end in order when its server crashes. */
+    private boolean isTruncatedStream(Attempt ended, AttemptOutcome outcome) {
+        boolean complete = outcome == AttemptOutcome.ANSWERED && ended.status() / 100 == 2;
+        return complete && route.retryPolicy().isStream() && (!stream.started() || splitter.remainder().length > 0);
+    }
+
     private AttemptState stateAfter(AttemptOutcome end) {
         NextStep unlimitedStep = AttemptPolicy.next(end, state(possibleRuns, true));
         boolean repeats = unlimitedStep == NextStep.SEND_AGAIN || unlimitedStep == NextStep.RESUME;
@@ -284,11 +287,6 @@
             request.reply(ended.status(), Responses.endToEnd(ended.headers()), ended.body());
             return;
         }
-        byte[] remainder = splitter.remainder();
-        stream.start(ended);
-        if (remainder.length > 0) {
-            request.write(remainder);
-        }
         finish("answered", ended.status());
         request.end();
     }
@@ -375,7 +373,7 @@
                 .field("id", head.attemptId())
                 .field("route", route.name())
                 .field("service", service)
-                .field("workspace", workspaceName())
+                .field("workspace", workspace.map(WorkspaceAccess::name).orElse(""))
                 .field("parts", parts.describe())
                 .field("config", configVersion)
                 .field("servers", servers.describeTried())
