End the test of prompts that crash engines when the router refuses them

The test now sends five requests first, each of which crashes an engine unless it is refused; bound and further requests are as they were. EngineCrashingPromptTest, EngineFailureTest and CrashExchangeTest pass (16 tests).

--- a/router/src/test/java/io/hornbeamfield/router/traffic/EngineCrashingPromptTest.java
+++ b/router/src/test/java/io/hornbeamfield/router/traffic/EngineCrashingPromptTest.java
@@ -50,7 +50,8 @@
         // Each crash ends an incarnation; the test's engines are restarted under the same id.
         router.load.incarnations = id -> id + "/" + crashes();
         int number = 0;
-        while (crashes() < CRASHES_BEFORE_THE_BOUND) {
+        // Each of these requests crashes at least one engine unless the router refuses it.
+        for (int i = 0; i < CRASHES_BEFORE_THE_BOUND; i++) {
             send(number++);
         }
         int before = crashes();
