--- a/client/src/test/java/io/hornbeamfield/client/RetryTest.java
+++ b/client/src/test/java/io/hornbeamfield/client/RetryTest.java
@@ -104,6 +104,18 @@
         assertThat(first.keys.size() + second.keys.size()).isEqualTo(1);
     }
 
+    /** Guards against sending a prompt that crashes engines to one router after the other. */
+    @Test
+    void aQuarantinedPromptIsReportedWithoutFurtherAttempts() {
+        first.script.add(FakeRouter.refuse(
+                Refusal.of(ResultCode.PROMPT_QUARANTINED, "Change the prompt.").retryAfter(1)));
+        assertThat(chat())
+                .isInstanceOfSatisfying(
+                        Outcome.RefusedNotRun.class,
+                        r -> assertThat(r.refusal().code()).isEqualTo(ResultCode.PROMPT_QUARANTINED));
+        assertThat(first.keys.size() + second.keys.size()).isEqualTo(1);
+    }
+
     /** A starting router knows nothing of the earlier attempt, which may have run. */
     @Test
     void notRunFromARouterThatDidNotLookUpTheKeyLeavesTheOutcomeUnknown() {
