Serve no prompts before the reports of crashes have been read

An instance that had just started took prompts as soon as it had a configuration and a list of servers. Until it had read the reports of crashes it sent each prompt to a server, also one that had crashed several. It now is not ready, and refuses such requests with 503 as starting, until the first read, which is repeated each 200 ms.

--- a/entry/src/main/java/io/hornbeamfield/entry/Blackboard.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/Blackboard.java
@@ -23,6 +23,7 @@
     private volatile boolean membersKnown;
     private volatile Set<String> ledgerWriters = Set.of();
     private volatile Quarantine quarantine = Quarantine.none();
+    private volatile boolean crashesKnown;
     private volatile boolean stopping;
 
     /**
@@ -110,6 +111,16 @@
         return quarantine;
     }
 
+    /** Returns whether the crashes that other instances have seen have been read. */
+    public boolean crashesKnown() {
+        return crashesKnown;
+    }
+
+    /** Records that the crashes that other instances have seen have been read. */
+    public void markCrashesKnown() {
+        crashesKnown = true;
+    }
+
     /** Sets the parts of prompts that crash servers. */
     public void quarantine(Quarantine next) {
         quarantine = next;
@@ -127,6 +138,6 @@
 
     /** Returns whether this instance is ready to serve requests. */
     public boolean ready() {
-        return !stopping && config != null && serversByService != null;
+        return !stopping && config != null && serversByService != null && crashesKnown;
     }
 }
--- a/entry/src/main/java/io/hornbeamfield/entry/control/CrashController.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/CrashController.java
@@ -36,6 +36,9 @@
     /** Two reads fit into the time within which an instance must know the state of the store. */
     private static final long READ_INTERVAL_MS = 1_000;
 
+    /** An instance serves no prompts before its first read. */
+    private static final long FIRST_READ_RETRY_MS = 200;
+
     /** While the same part was at several crashes, the next one may come at any moment. */
     private static final long ALERT_READ_INTERVAL_MS = 400;
 
@@ -112,7 +115,7 @@
                 apply(list);
             }
         } finally {
-            long delayMs = isAlert() ? ALERT_READ_INTERVAL_MS : READ_INTERVAL_MS;
+            long delayMs = !restored ? FIRST_READ_RETRY_MS : isAlert() ? ALERT_READ_INTERVAL_MS : READ_INTERVAL_MS;
             control.schedule(this::read, delayMs, TimeUnit.MILLISECONDS);
         }
     }
@@ -141,6 +144,7 @@
         }
         journal.othersReported(others);
         assess();
+        blackboard.markCrashesKnown();
         removeExpired(list);
     }
 
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/RelayHandler.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/RelayHandler.java
@@ -79,6 +79,15 @@
                     OTHER_INSTANCE_RETRY_AFTER_MS);
             return;
         }
+        if (!context.blackboard().crashesKnown() && !head.sharedPartIds().isEmpty()) {
+            refuse(
+                    request,
+                    head,
+                    ResultCode.STARTING,
+                    "This instance has not read yet which prompts crash servers.",
+                    OTHER_INSTANCE_RETRY_AFTER_MS);
+            return;
+        }
         openRequests++;
         String service = route.get().pickService(ThreadLocalRandom.current());
         new RequestFlow(context, request, head, route.get(), service, workspace, config.version(), () -> openRequests--)
--- a/entry/src/test/java/io/hornbeamfield/entry/ServerCrashingPromptTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/ServerCrashingPromptTest.java
@@ -16,7 +16,7 @@
  * instances of which each one sees only some of the crashes.
  */
 final class ServerCrashingPromptTest {
-    private static final String DEADLY_PART = "dead";
+    private static final String CRASHING_PART = "crash";
     private static final int ENGINES = 4;
     private static final int CRASHES_BEFORE_THE_BOUND = 5;
     private static final int MAX_REQUESTS_AFTER_THE_BOUND = 3;
@@ -50,7 +50,7 @@
     }
 
     private void respond(FakeBackendServer engine, InboundRequest r) {
-        if (String.valueOf(r.header("X-Prompt-Prefix")).contains(DEADLY_PART)) {
+        if (String.valueOf(r.header("X-Prompt-Prefix")).contains(CRASHING_PART)) {
             crashes.incrementAndGet();
             synchronized (crashed) {
                 crashed.add(engine);
@@ -92,29 +92,48 @@
         }
     }
 
-    private String sendDeadly(int instance) throws InterruptedException {
-        return send(instance, "rules:5,plot7:5," + DEADLY_PART + ":5");
+    private String sendCrashing(int instance) throws InterruptedException {
+        return send(instance, "rules:5,plot7:5," + CRASHING_PART + ":5");
     }
 
     @Test
     void aPartThatCrashesServersStopsReachingThemFromAnyInstance() throws InterruptedException {
         for (int i = 0; i < CRASHES_BEFORE_THE_BOUND; i++) {
-            sendDeadly(i % 3);
+            sendCrashing(i % 3);
         }
         Thread.sleep(CONTACT_MS);
         int before = crashes.get();
         fleet.startReady();
         Thread.sleep(CONTACT_MS);
         for (int i = 0; i < 12; i++) {
-            sendDeadly(i % 4);
+            sendCrashing(i % 4);
         }
         assertThat(crashes.get() - before).isLessThanOrEqualTo(MAX_REQUESTS_AFTER_THE_BOUND);
     }
 
+    @Test
+    void anInstanceThatHasJustStartedServesNoPromptsBeforeItKnowsWhichOnesCrashServers() throws InterruptedException {
+        for (int i = 0; i < CRASHES_BEFORE_THE_BOUND; i++) {
+            sendCrashing(i % 3);
+        }
+        int before = crashes.get();
+        fleet.store.leaveListsUnanswered("crashes");
+        EntryProcess started = fleet.start();
+        EntryFixture.await(() -> started.blackboard().serversKnown()
+                && started.blackboard().config().isPresent());
+        assertThat(sendCrashing(3)).startsWith("HTTP/1.1 503");
+        assertThat(started.blackboard().ready()).isFalse();
+        fleet.store.leaveListsUnanswered("");
+        EntryFixture.await(() -> started.blackboard().ready());
+        assertThat(sendCrashing(3)).startsWith("HTTP/1.1 503").contains("\"code\":3008");
+        assertThat(send(3, "rules:5")).startsWith("HTTP/1.1 200");
+        assertThat(crashes.get()).isEqualTo(before);
+    }
+
     @Test
     void requestsThatShareTheOtherPartsOfACrashingOneAreServed() throws InterruptedException {
         for (int i = 0; i < CRASHES_BEFORE_THE_BOUND; i++) {
-            sendDeadly(i % 3);
+            sendCrashing(i % 3);
         }
         Thread.sleep(CONTACT_MS);
         for (int i = 0; i < 6; i++) {
