--- a/review/standins/EndlessAnswer.java
+++ b/review/standins/EndlessAnswer.java
@@ -16,7 +16,7 @@
  * answered.
  */
 final class EndlessAnswer {
-    /** One of eight instances gets an eighth of the 57.6 streams and the 5.8 lookups a second of the sheet. */
+    /** One of eight instances gets an eighth of the 57.6 streams and the 20.2 calls a second of the sheet. */
     private static final int STREAMS_PER_SECOND = 7;
 
     private static final int LOOKUPS_PER_SECOND = 3;
