--- a/review/standins/Daemons.java
+++ b/review/standins/Daemons.java
@@ -48,10 +48,6 @@
             return Files.readString(log.toPath());
         }
 
-        void signal(String name) throws IOException, InterruptedException {
-            new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
-        }
-
         boolean isReady() {
             try (Client c = new Client(ready, 700)) {
                 c.send("GET", "/readyz", List.of("Connection: close"), new byte[0]);
--- a/review/standins/Runner.java
+++ b/review/standins/Runner.java
@@ -20,7 +20,6 @@
     private final ServerSocket server;
     private final Work work;
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
-    private volatile boolean down;
 
     Runner(String ip, String id, String service, Work work) throws IOException {
         this.id = id;
@@ -45,7 +44,6 @@
 
     /** Crashes: all connections are reset and new ones are refused. */
     void crash() throws IOException {
-        down = true;
         server.close();
         for (Socket s : open) {
             s.setSoLinger(true, 0);
@@ -53,10 +51,6 @@
         }
     }
 
-    boolean isDown() {
-        return down;
-    }
-
     private void accept() {
         while (true) {
             try {
