End a begun stream only with its continuation

Cause: AttemptPolicy delivered every complete answer, and RequestFlow ended the caller's stream with the end of the last one, whatever its status or body. Only 2xx answers were checked for being whole.

Change: core.attempt.StreamProgress judges each end of an attempt by what the caller has. Any complete answer that does not continue the stream (another status, another media type, no new event, marked as not run) is OTHER_ANSWER, after which the stream is resumed if its route allows that, or cut. Events without ids are not joined with those of another run, and a stream whose last data had no id is not resumed.

Why it works: the only step that ends a begun stream in order is DELIVER, and AttemptPolicyTest shows for all states that only ANSWERED leads there; StreamProgress returns it for a begun stream only after a new event of the same media type.

--- a/core/src/main/java/io/hornbeamfield/core/attempt/AttemptOutcome.java
+++ b/core/src/main/java/io/hornbeamfield/core/attempt/AttemptOutcome.java
@@ -10,6 +10,8 @@
     ANSWERED,
     /** A complete answer arrived that reports a server error. */
     ANSWERED_FAILURE,
+    /** A complete answer arrived that does not continue the stream of which the caller has received a part. */
+    OTHER_ANSWER,
     /** The request was sent, but no valid answer arrived: the connection was closed or the response was malformed. */
     BROKEN,
     /** The request was sent, but nothing arrived before the attempt timed out. */
--- a/core/src/main/java/io/hornbeamfield/core/attempt/AttemptPolicy.java
+++ b/core/src/main/java/io/hornbeamfield/core/attempt/AttemptPolicy.java
@@ -4,7 +4,8 @@
 
 /**
  * Decides the next step after an attempt has ended. A request that may have run is never refused as not run, only
- * failed with an unknown outcome, and it is retried only if the retry policy of its route allows it.
+ * failed with an unknown outcome, and it is retried only if the retry policy of its route allows it. A stream of which
+ * the caller has received a part is delivered to its end or cut; no other answer can follow it.
  *
  * <pre>{@code
  * NextStep step = AttemptPolicy.next(AttemptOutcome.DECLINED, state);
@@ -17,15 +18,21 @@
     public static NextStep next(AttemptOutcome outcome, AttemptState state) {
         return switch (outcome) {
             case ANSWERED -> NextStep.DELIVER;
-            case ANSWERED_FAILURE ->
-                state.retryPolicy() == RetryPolicy.IDEMPOTENT && state.mayRerun()
-                        ? NextStep.SEND_AGAIN
-                        : NextStep.DELIVER;
+            case ANSWERED_FAILURE -> afterFailure(state);
             case NOT_CONNECTED, DECLINED -> afterNoRun(state);
-            case BROKEN, SILENT -> afterPossibleRun(state);
+            case BROKEN, SILENT, OTHER_ANSWER -> afterPossibleRun(state);
         };
     }
 
+    private static NextStep afterFailure(AttemptState state) {
+        if (state.partialAnswerSent()) {
+            return afterPossibleRun(state);
+        }
+        return state.retryPolicy() == RetryPolicy.IDEMPOTENT && state.mayRerun()
+                ? NextStep.SEND_AGAIN
+                : NextStep.DELIVER;
+    }
+
     private static NextStep afterNoRun(AttemptState state) {
         if (state.partialAnswerSent()) {
             return state.mayRetry() ? NextStep.RESUME : NextStep.CUT;
--- a/core/src/test/java/io/hornbeamfield/core/attempt/AttemptPolicyTest.java
+++ b/core/src/test/java/io/hornbeamfield/core/attempt/AttemptPolicyTest.java
@@ -33,6 +33,12 @@
         "BROKEN,           RESUMABLE_STREAM, 1, 2, false, SEND_AGAIN",
         "BROKEN,           RESUMABLE_STREAM, 1, 2, true,  RESUME",
         "BROKEN,           RESUMABLE_STREAM, 2, 2, true,  CUT",
+        "ANSWERED,         RESUMABLE_STREAM, 1, 2, true,  DELIVER",
+        "ANSWERED_FAILURE, RESUMABLE_STREAM, 1, 2, true,  RESUME",
+        "ANSWERED_FAILURE, RESUMABLE_STREAM, 2, 2, true,  CUT",
+        "OTHER_ANSWER,     RESUMABLE_STREAM, 1, 2, true,  RESUME",
+        "OTHER_ANSWER,     RESUMABLE_STREAM, 2, 2, true,  CUT",
+        "OTHER_ANSWER,     STREAM,           1, 2, true,  CUT",
         "SILENT,           NON_IDEMPOTENT,   1, 2, false, FAIL",
         "SILENT,           IDEMPOTENT,       1, 2, false, SEND_AGAIN",
         "SILENT,           RESUMABLE_STREAM, 1, 2, true,  RESUME",
@@ -50,6 +56,8 @@
         "DECLINED,         IDEMPOTENT,       1, false, FAIL",
         "DECLINED,         RESUMABLE_STREAM, 1, true,  CUT",
         "ANSWERED_FAILURE, IDEMPOTENT,       1, false, DELIVER",
+        "ANSWERED_FAILURE, RESUMABLE_STREAM, 1, true,  CUT",
+        "OTHER_ANSWER,     RESUMABLE_STREAM, 1, true,  CUT",
         "BROKEN,           IDEMPOTENT,       1, false, FAIL",
         "BROKEN,           RESUMABLE_STREAM, 1, true,  CUT",
     })
@@ -85,6 +93,18 @@
         }
     }
 
+    /** Guards against a begun stream that ends as complete, or with an error in it, after another server's failure. */
+    @Test
+    void aBegunStreamIsDeliveredToItsEndOrResumedOrCut() {
+        for (AttemptState state : allStates()) {
+            for (AttemptOutcome outcome : AttemptOutcome.values()) {
+                if (state.partialAnswerSent() && outcome != AttemptOutcome.ANSWERED) {
+                    assertThat(AttemptPolicy.next(outcome, state)).isIn(NextStep.RESUME, NextStep.CUT);
+                }
+            }
+        }
+    }
+
     private static List<AttemptState> allStates() {
         List<AttemptState> states = new ArrayList<>();
         for (RetryPolicy retryPolicy : RetryPolicy.values()) {
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/Attempt.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/Attempt.java
@@ -24,7 +24,6 @@
 
     private final ServerConnectionPool pool;
     private final String attemptId;
-    private final boolean streamRoute;
     private final long promptTokens;
     private final long stallTimeoutMs;
     private final Supplier<OutboundRequest> request;
@@ -38,11 +37,15 @@
     private int status;
     private List<Header> headers = List.of();
     private boolean declined;
+    private boolean isStream;
     private long firstEventMs;
     private long lastEventMs;
 
     /** Receives the events of an attempt. */
     interface Listener {
+        /** Returns whether a successful answer is a stream whose events may be forwarded as they arrive. */
+        boolean isStream(List<Header> answerHeaders);
+
         /** A part of a successful stream has arrived. */
         void onStreamData(Attempt attempt, byte[] part);
 
@@ -62,14 +65,12 @@
     Attempt(
             ServerConnectionPool pool,
             String attemptId,
-            boolean streamRoute,
             long promptTokens,
             long stallTimeoutMs,
             Supplier<OutboundRequest> request,
             Listener listener) {
         this.pool = pool;
         this.attemptId = attemptId;
-        this.streamRoute = streamRoute;
         this.promptTokens = promptTokens;
         this.stallTimeoutMs = stallTimeoutMs;
         this.request = request;
@@ -101,8 +102,9 @@
         return body.toByteArray();
     }
 
-    private boolean isStreamingResponse() {
-        return streamRoute && status / 100 == 2;
+    /** Returns whether the answer is a stream whose events are forwarded as they arrive. */
+    boolean isStream() {
+        return isStream;
     }
 
     @Override
@@ -139,6 +141,7 @@
         } else if (!declined && status / 100 == 2 && !signed) {
             discardAndEnd(AttemptOutcome.BROKEN, "the response has no signature");
         }
+        isStream = !done && !declined && status / 100 == 2 && listener.isStream(answerHeaders);
     }
 
     @Override
@@ -147,7 +150,7 @@
             return;
         }
         pool.recordReceived();
-        if (isStreamingResponse()) {
+        if (isStream) {
             if (!streaming) {
                 streaming = true;
                 pool.streamStarted();
@@ -199,8 +202,11 @@
         }
     }
 
-    /** Records that a whole event of the stream arrived. */
+    /** Records that a new event of the stream arrived. */
     void recordEvent(long nowMs) {
+        if (lastEventMs > 0) {
+            pool.eventGap().record(nowMs - lastEventMs);
+        }
         firstEventMs = firstEventMs == 0 ? nowMs : firstEventMs;
         lastEventMs = nowMs;
     }
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/EventSplitter.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/EventSplitter.java
@@ -2,8 +2,8 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.OptionalLong;
-import java.util.function.BiConsumer;
 
 /**
  * Splits a stream of server-sent events into complete, unmodified events with their ids. A truncated event is never
@@ -14,15 +14,23 @@
     static final int MAX_EVENT_BYTES = 256 * 1024;
 
     private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
+    private static final byte[] DATA_FIELD = "data".getBytes(StandardCharsets.US_ASCII);
 
-    private final BiConsumer<OptionalLong, byte[]> onEvent;
+    private final Listener listener;
     private final ByteArrayOutputStream event = new ByteArrayOutputStream(256);
     private final ByteArrayOutputStream line = new ByteArrayOutputStream(128);
     private OptionalLong id = OptionalLong.empty();
+    private boolean hasData;
     private boolean lineHasText;
 
-    EventSplitter(BiConsumer<OptionalLong, byte[]> onEvent) {
-        this.onEvent = onEvent;
+    /** Receives the events. */
+    interface Listener {
+        /** Called for each complete event, with its bytes as received. */
+        void onEvent(OptionalLong id, boolean hasData, byte[] event);
+    }
+
+    EventSplitter(Listener listener) {
+        this.listener = listener;
     }
 
     /** Reads a part of the stream. Returns false if it has an event of more than {@link #MAX_EVENT_BYTES} bytes. */
@@ -49,34 +57,38 @@
 
     private void endLine() {
         if (lineHasText) {
-            readId();
+            readField();
         } else {
             OptionalLong eventId = id;
+            boolean eventHasData = hasData;
             byte[] whole = event.toByteArray();
             event.reset();
             id = OptionalLong.empty();
-            onEvent.accept(eventId, whole);
+            hasData = false;
+            listener.onEvent(eventId, eventHasData, whole);
         }
         line.reset();
         lineHasText = false;
     }
 
-    private void readId() {
+    private void readField() {
         byte[] text = line.toByteArray();
-        if (text.length <= ID_FIELD.length) {
-            return;
+        hasData |= startsWith(text, DATA_FIELD);
+        if (startsWith(text, ID_FIELD)) {
+            id = parseId(new String(text, ID_FIELD.length, text.length - ID_FIELD.length, StandardCharsets.US_ASCII));
         }
-        for (int i = 0; i < ID_FIELD.length; i++) {
-            if (text[i] != ID_FIELD[i]) {
-                return;
-            }
-        }
-        String value = new String(text, ID_FIELD.length, text.length - ID_FIELD.length, StandardCharsets.US_ASCII);
+    }
+
+    private static boolean startsWith(byte[] text, byte[] field) {
+        return text.length >= field.length && Arrays.equals(text, 0, field.length, field, 0, field.length);
+    }
+
+    /** A stream cannot be resumed after a non-numeric id, so that its event counts as one without an id. */
+    private static OptionalLong parseId(String value) {
         try {
-            id = OptionalLong.of(Long.parseLong(value.trim()));
+            return OptionalLong.of(Long.parseLong(value.trim()));
         } catch (NumberFormatException e) {
-            // A stream cannot be resumed after a non-numeric id; the event is forwarded as one without an id.
-            id = OptionalLong.empty();
+            return OptionalLong.empty();
         }
     }
 }
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/ForwardedStream.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/ForwardedStream.java
@@ -1,17 +1,26 @@
 package io.hornbeamfield.entry.traffic;
 
+import io.hornbeamfield.core.attempt.AttemptOutcome;
+import io.hornbeamfield.core.attempt.StreamProgress;
+import io.hornbeamfield.core.route.RetryPolicy;
+import io.hornbeamfield.net.relay.Header;
 import io.hornbeamfield.net.relay.InboundRequest;
 import java.time.Clock;
+import java.util.List;
+import java.util.Locale;
 import java.util.OptionalLong;
+import org.jspecify.annotations.Nullable;
 
-/** The part of a stream that its caller has received; it may come from several servers. */
+/** Sends a stream to its caller; its events may come from several servers. */
 final class ForwardedStream {
     private final InboundRequest request;
     private final Clock clock;
     private final long arrivedMs;
+    private final StreamProgress progress = new StreamProgress();
+    private EventSplitter splitter = new EventSplitter(this::forward);
+    private @Nullable Attempt source;
     private boolean started;
-    private long lastEventId = -1;
-    private long events;
+    private String mediaType = "";
     private long firstEventMs = -1;
 
     ForwardedStream(InboundRequest request, Clock clock) {
@@ -26,12 +35,43 @@
 
     /** Returns the id of the last forwarded event, negative if there is none. */
     long lastEventId() {
-        return lastEventId;
+        return progress.lastEventId();
     }
 
     /** Returns the number of forwarded events. */
     long events() {
-        return events;
+        return progress.pieces();
+    }
+
+    /** Returns the retry policy for the rest of the request. */
+    RetryPolicy retryPolicy(RetryPolicy declared) {
+        return progress.retryPolicy(declared);
+    }
+
+    /** Returns the outcome of an attempt, given the outcome of its answer without regard to the stream so far. */
+    AttemptOutcome outcomeOf(Attempt ended, AttemptOutcome outcome) {
+        return progress.outcomeOf(outcome, ended.isStream(), splitter.remainder().length > 0);
+    }
+
+    /** Records that a further server answers the request. */
+    void attemptStarted(Attempt attempt) {
+        progress.attemptStarted();
+        source = attempt;
+        // A partial event of a broken attempt must not be joined with the events of the next attempt.
+        splitter = new EventSplitter(this::forward);
+    }
+
+    /** Returns whether a successful answer can be a part of the stream: it must have the type of the first answer. */
+    boolean isContinuedBy(List<Header> answerHeaders) {
+        return !started || mediaType.equals(mediaType(answerHeaders));
+    }
+
+    private static String mediaType(List<Header> headers) {
+        return Header.find(headers, "Content-Type")
+                .orElse("")
+                .split(";", 2)[0]
+                .trim()
+                .toLowerCase(Locale.ROOT);
     }
 
     /** Returns the time from the request to the start of the stream, negative if it has not started. */
@@ -39,24 +79,29 @@
         return firstEventMs;
     }
 
-    /** Sends the head of the server's answer unless another server's has been sent. */
-    void start(Attempt source) {
-        if (!started) {
-            started = true;
-            firstEventMs = clock.millis() - arrivedMs;
-            request.start(source.status(), Responses.endToEnd(source.headers()));
-        }
+    /** Forwards the new events of a part of the current answer. Returns false if an event is too large. */
+    boolean forward(byte[] part) {
+        return splitter.feed(part);
     }
 
-    /** Forwards an event unless its caller has it, and returns whether it was forwarded. */
-    boolean forward(Attempt source, OptionalLong id, byte[] event) {
-        if (id.isPresent() && id.getAsLong() <= lastEventId) {
-            return false;
+    private void forward(OptionalLong id, boolean hasData, byte[] event) {
+        Attempt from = source;
+        if (from == null || !progress.accept(id, hasData)) {
+            return;
         }
-        start(source);
-        id.ifPresent(i -> lastEventId = i);
-        events++;
+        start(from);
         request.write(event);
-        return true;
+        if (id.isPresent()) {
+            from.recordEvent(clock.millis());
+        }
+    }
+
+    private void start(Attempt from) {
+        if (!started) {
+            started = true;
+            mediaType = mediaType(from.headers());
+            firstEventMs = clock.millis() - arrivedMs;
+            request.start(from.status(), Responses.endToEnd(from.headers()));
+        }
     }
 }
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
@@ -13,12 +13,13 @@
 import io.hornbeamfield.core.route.RouteConfig;
 import io.hornbeamfield.core.route.ServiceSpec;
 import io.hornbeamfield.core.route.WorkspaceAccess;
+import io.hornbeamfield.net.relay.Header;
 import io.hornbeamfield.net.relay.InboundRequest;
 import io.hornbeamfield.net.relay.OutboundRequest;
 import io.hornbeamfield.platform.RequestHead;
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
@@ -49,7 +50,6 @@
     private final PromptParts parts;
     private final ForwardedStream stream;
     private final ServerSelection servers;
-    private EventSplitter splitter = new EventSplitter(this::onEvent);
     private @Nullable Attempt attempt;
     private @Nullable Future<?> deadlineTimer;
     private @Nullable Future<?> silenceTimer;
@@ -136,14 +136,12 @@
         Attempt next = new Attempt(
                 pool,
                 head.attemptId(),
-                route.retryPolicy().isStream(),
                 prompt,
                 StallTimeout.ms(route.objectiveMs(), route.eventPauseMs()),
                 () -> outbound(pool),
                 this);
         attempt = next;
-        // A partial event of a broken attempt must not be joined with the events of the next attempt.
-        splitter = new EventSplitter(this::onEvent);
+        stream.attemptStarted(next);
         scheduleSilenceTimeout(next);
         next.start(context.pools().maxConnections(spec));
     }
@@ -168,31 +166,23 @@
     }
 
     @Override
-    public void onStreamData(Attempt source, byte[] part) {
-        if (source == attempt && !done) {
-            if (!splitter.feed(part)) {
-                source.endAsBroken("an event exceeds " + EventSplitter.MAX_EVENT_BYTES + " bytes");
-            } else if (request.unsentBytes() > MAX_CALLER_BACKLOG_BYTES) {
-                cancelAttempt();
-                finish("caller-too-slow", 0);
-                request.cut();
-            }
-        }
+    public boolean isStream(List<Header> answerHeaders) {
+        return route.retryPolicy().isStream() && stream.isContinuedBy(answerHeaders);
     }
 
-    private void onEvent(OptionalLong id, byte[] event) {
-        Attempt source = attempt;
-        if (done || source == null) {
+    @Override
+    public void onStreamData(Attempt source, byte[] part) {
+        if (source != attempt || done) {
             return;
         }
-        boolean forwarded = stream.forward(source, id, event);
-        if (forwarded && id.isPresent()) {
-            long now = context.clock().millis();
-            if (source.lastEventMs() > 0) {
-                source.pool().eventGap().record(now - source.lastEventMs());
-            }
-            source.recordEvent(now);
-            parts.recordProgress(source.hasOutlivedStart(now));
+        if (!stream.forward(part)) {
+            source.endAsBroken("an event exceeds " + EventSplitter.MAX_EVENT_BYTES + " bytes");
+        } else if (request.unsentBytes() > MAX_CALLER_BACKLOG_BYTES) {
+            cancelAttempt();
+            finish("caller-too-slow", 0);
+            request.cut();
+        } else {
+            parts.recordProgress(source.hasOutlivedStart(context.clock().millis()));
         }
     }
 
@@ -223,7 +213,7 @@
         if (done || ended != attempt) {
             return;
         }
-        AttemptOutcome end = isTruncatedStream(ended, outcome) ? AttemptOutcome.BROKEN : outcome;
+        AttemptOutcome end = stream.outcomeOf(ended, outcome);
         attempt = null;
         cancel(silenceTimer);
         boolean mayHaveRun = end != AttemptOutcome.NOT_CONNECTED && end != AttemptOutcome.DECLINED;
@@ -250,12 +240,6 @@
         execute(step, ended, reason);
     }
 
-    /** A stream without a length may end in order when its server crashes. */
-    private boolean isTruncatedStream(Attempt ended, AttemptOutcome outcome) {
-        boolean complete = outcome == AttemptOutcome.ANSWERED && ended.status() / 100 == 2;
-        return complete && route.retryPolicy().isStream() && (!stream.started() || splitter.remainder().length > 0);
-    }
-
     private AttemptState stateAfter(AttemptOutcome end) {
         NextStep unlimitedStep = AttemptPolicy.next(end, state(possibleRuns, true));
         boolean repeats = unlimitedStep == NextStep.SEND_AGAIN || unlimitedStep == NextStep.RESUME;
@@ -266,7 +250,12 @@
     private AttemptState state(int runs, boolean retryAllowed) {
         boolean timeLeft = remainingMs() > MIN_ATTEMPT_MS && servers.hasUntried();
         return new AttemptState(
-                route.retryPolicy(), runs, route.maxAttempts(), stream.started(), timeLeft, retryAllowed);
+                stream.retryPolicy(route.retryPolicy()),
+                runs,
+                route.maxAttempts(),
+                stream.started(),
+                timeLeft,
+                retryAllowed);
     }
 
     private void execute(NextStep step, Attempt ended, String reason) {
@@ -282,13 +271,12 @@
 
     private void deliver(Attempt ended) {
         parts.recordProgress(ended.status() / 100 == 2);
-        if (!stream.started() && !(route.retryPolicy().isStream() && ended.status() / 100 == 2)) {
-            finish("answered", ended.status());
+        finish("answered", ended.status());
+        if (stream.started()) {
+            request.end();
+        } else {
             request.reply(ended.status(), Responses.endToEnd(ended.headers()), ended.body());
-            return;
         }
-        finish("answered", ended.status());
-        request.end();
     }
 
     private void onNoServer() {
@@ -314,6 +302,10 @@
     }
 
     private void refuse(ResultCode code, String detail, long retryAfterMs) {
+        if (stream.started()) {
+            abortStream(code.name());
+            return;
+        }
         finish(code.name(), code.httpStatus());
         Responses.refuse(request, code, detail, retryAfterMs);
     }
--- a/entry/src/test/java/io/hornbeamfield/entry/traffic/EventSplitterTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/traffic/EventSplitterTest.java
@@ -12,7 +12,7 @@
 final class EventSplitterTest {
     private final List<String> events = new ArrayList<>();
     private final List<OptionalLong> ids = new ArrayList<>();
-    private final EventSplitter splitter = new EventSplitter((id, bytes) -> {
+    private final EventSplitter splitter = new EventSplitter((id, hasData, bytes) -> {
         ids.add(id);
         events.add(new String(bytes, StandardCharsets.UTF_8));
     });
