Never report a begun answer as not run in the client library

After a part of a model answer, a router's refusal as not run made the client library send the request again under a new key (a second, billed run) and report RefusedNotRun.

Cause: RetryingRequest judges a refusal by its code alone and does not know that its listener has received text.

Change: Sender.answerBegun; a refusal as not run after a begun answer is retried with the same key, and the outcome stays unknown.

Evidence: StreamResumeTest.aBegunAnswerIsNeverReportedAsNotRun failed before (RefusedNotRun, new keys) and passes now.

--- a/client/src/main/java/io/hornbeamfield/client/internal/ChatSender.java
+++ b/client/src/main/java/io/hornbeamfield/client/internal/ChatSender.java
@@ -52,6 +52,11 @@
         return Json.bytes(fields);
     }
 
+    @Override
+    public boolean answerBegun() {
+        return text.nextOffset() > 0;
+    }
+
     @Override
     public void send(Router router, String key, Duration remaining, Consumer<AttemptResult> onEnd) {
         HttpCall.Builder call = HttpCall.post("http://" + router.address() + "/v1/chat/completions")
--- a/client/src/main/java/io/hornbeamfield/client/internal/RetryingRequest.java
+++ b/client/src/main/java/io/hornbeamfield/client/internal/RetryingRequest.java
@@ -151,8 +151,11 @@
             } else {
                 outcome.complete(new Outcome.OutcomeUnknown(refusal));
             }
-        } else if (mayHaveRunElsewhere || (mayHaveRun && !RetryPolicy.isDecidedAfterKeyLookup(refusal.code()))) {
-            // An owner that was paused or cut off does not know what other routers ran in the meantime.
+        } else if (sender.answerBegun()
+                || mayHaveRunElsewhere
+                || (mayHaveRun && !RetryPolicy.isDecidedAfterKeyLookup(refusal.code()))) {
+            // A request with a part of its answer has run, whatever a router says. An owner that was paused or cut off
+            // does not know what other routers ran in the meantime.
             routerIndex++;
             retryIn(backoff());
         } else {
--- a/client/src/test/java/io/hornbeamfield/client/StreamResumeTest.java
+++ b/client/src/test/java/io/hornbeamfield/client/StreamResumeTest.java
@@ -4,12 +4,19 @@
 
 import io.hornbeamfield.core.result.Refusal;
 import io.hornbeamfield.core.result.ResultCode;
+import io.hornbeamfield.net.http.HttpExchange;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
 
 class StreamResumeTest {
     private final FakeRouter first = new FakeRouter("r1-00000001");
@@ -109,4 +116,52 @@
         });
         assertThat(chat()).isEqualTo(new Outcome.OutcomeUnknown(Refusal.of(ResultCode.BACKEND_FAILED, "x")));
     }
+
+    static Stream<Arguments> otherAnswers() {
+        return Stream.of(
+                answer("status 404", x -> x.replyJson(404, failed())),
+                answer("status 500", x -> x.replyJson(500, failed())),
+                answer("status 503", x -> x.replyJson(503, failed())),
+                answer("status 504", x -> x.replyJson(504, failed())),
+                answer("a JSON body", x -> x.replyJson(200, failed())),
+                answer("no body", x -> x.reply(200, Map.of("Content-Type", "text/event-stream"), new byte[0])),
+                answer("no answer", FakeRouter.abort()));
+    }
+
+    private static Arguments answer(String name, Consumer<HttpExchange> resumed) {
+        return Arguments.of(name, resumed);
+    }
+
+    private static byte[] failed() {
+        return "{\"error\":\"failed\"}".getBytes(java.nio.charset.StandardCharsets.UTF_8);
+    }
+
+    /** Guards against an error's text in an answer, and against a begun answer that ends as complete. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("otherAnswers")
+    void aBegunAnswerIsResumedAgainAfter(String name, Consumer<HttpExchange> resumed) {
+        first.script.add(FakeRouter.serve("r1", "w", 0, 2, false));
+        second.script.add(resumed);
+        first.script.add(FakeRouter.serve("r1", "w", 2, 4, true));
+        assertThat(text(chat())).isEqualTo("w0 w1 w2 w3 ");
+        assertThat(received).hasToString("w0 w1 w2 w3 ");
+        assertThat(first.keys).hasSize(2);
+    }
+
+    /**
+     * Guards against "not run" for a request of which the caller has a part, and against a second, billed run of it.
+     */
+    @Test
+    void aBegunAnswerIsNeverReportedAsNotRun() {
+        first.script.add(FakeRouter.serve("r1", "w", 0, 2, false));
+        for (int i = 0; i < 2; i++) {
+            first.script.add(FakeRouter.refuse(Refusal.of(ResultCode.OVERLOADED, "busy")));
+            second.script.add(FakeRouter.refuse(Refusal.of(ResultCode.OVERLOADED, "busy")));
+        }
+        assertThat(chat()).isInstanceOf(Outcome.OutcomeUnknown.class);
+        List<String> keys = new ArrayList<>(first.keys);
+        keys.addAll(second.keys);
+        assertThat(keys).hasSize(4).containsOnly(first.keys.get(0));
+        assertThat(received).hasToString("w0 w1 ");
+    }
 }
--- a/router/src/test/java/io/hornbeamfield/router/traffic/FakeEngine.java
+++ b/router/src/test/java/io/hornbeamfield/router/traffic/FakeEngine.java
@@ -12,6 +12,8 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
 
 /** Engine whose streams complete, break or go silent as the test configures. Token i of a request is the word "i ". */
 final class FakeEngine implements AutoCloseable {
@@ -29,6 +31,9 @@
     volatile int silentAt = Integer.MAX_VALUE;
     volatile int refusalStatus;
     volatile boolean losesStreams;
+    /** Answers resumed streams, unless null. */
+    volatile @Nullable Consumer<HttpExchange> resumeAnswer;
+
     /** Whether requests get no answer and leave no trace, as if they had never arrived. */
     volatile boolean losesRequests;
 
@@ -65,7 +70,10 @@
     private void resume(HttpExchange x) {
         String id = id(x);
         resumed.add(id + " from " + x.query("from").orElse(""));
-        if (losesStreams) {
+        Consumer<HttpExchange> scripted = resumeAnswer;
+        if (scripted != null) {
+            scripted.accept(x);
+        } else if (losesStreams) {
             x.replyJson(404, "{}".getBytes(UTF_8));
         } else {
             write(x, id, Integer.parseInt(x.query("from").orElseThrow()), Integer.MAX_VALUE);
