Bound the work of a stream that brings no new event

Cause: each empty line is an event of a byte, and each event was copied, framed as a chunk and written by a system call of its own, under the lock of all requests and on the thread that reads all connections; nothing bounded their number.

Change: the splitter works on one buffer without a copy for each byte, line and event; the events of a part are written together; core.attempt.InputAllowance ends an answer after 512 KB (or some 8,000 parts) without a new event. Its server is suspended until it passes a health check; the prompt is not reported as one that crashes servers, since the server is alive.

Why it works: a request to such a server costs at most the allowance, in reads of 32 KB whose work is now a scan and one write.

--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/Attempt.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/Attempt.java
@@ -38,6 +38,7 @@
     private List<Header> headers = List.of();
     private boolean declined;
     private boolean isStream;
+    private boolean excessive;
     private long firstEventMs;
     private long lastEventMs;
 
@@ -226,13 +227,19 @@
         return lastEventMs > 0 && nowMs - lastEventMs > stallTimeoutMs;
     }
 
-    /** Ends the attempt because the server sends bytes that are no valid response. */
-    void endAsBroken(String reason) {
+    /** Ends the attempt because the server sends more than a valid response can have. */
+    void endAsExcessive(String reason) {
         if (!done) {
+            excessive = true;
             discardAndEnd(AttemptOutcome.BROKEN, reason);
         }
     }
 
+    /** Returns whether the server sent more than a valid response can have; it is alive then. */
+    boolean isExcessive() {
+        return excessive;
+    }
+
     void reportQuarantineChange() {
         if (!done) {
             listener.onQuarantineChange(this);
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/EventSplitter.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/EventSplitter.java
@@ -1,6 +1,5 @@
 package io.hornbeamfield.entry.traffic;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.OptionalLong;
@@ -13,20 +12,32 @@
     /** A server that sends more without the end of an event sends no events. */
     static final int MAX_EVENT_BYTES = 256 * 1024;
 
+    private static final int INITIAL_BUFFER_BYTES = 512;
     private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
     private static final byte[] DATA_FIELD = "data".getBytes(StandardCharsets.US_ASCII);
 
     private final Listener listener;
-    private final ByteArrayOutputStream event = new ByteArrayOutputStream(256);
-    private final ByteArrayOutputStream line = new ByteArrayOutputStream(128);
+
+    /** The bytes from the start of the current event on. */
+    private byte[] buffer = new byte[INITIAL_BUFFER_BYTES];
+
+    private int size;
+    private int scanned;
+    private int lineStart;
     private OptionalLong id = OptionalLong.empty();
     private boolean hasData;
-    private boolean lineHasText;
 
     /** Receives the events. */
+    @FunctionalInterface
     interface Listener {
-        /** Called for each complete event, with its bytes as received. */
-        void onEvent(OptionalLong id, boolean hasData, byte[] event);
+        /**
+         * Called for each complete event.
+         *
+         * @param id number of the event, if it has one
+         * @param hasData whether the event has a data field; other events are comments and empty lines
+         * @param buffer holds the bytes of the event as received, until the method returns
+         */
+        void onEvent(OptionalLong id, boolean hasData, byte[] buffer, int offset, int length);
     }
 
     EventSplitter(Listener listener) {
@@ -34,53 +45,79 @@
     }
 
     /** Reads a part of the stream. Returns false if it has an event of more than {@link #MAX_EVENT_BYTES} bytes. */
-    boolean feed(byte[] bytes) {
-        for (byte b : bytes) {
-            if (event.size() >= MAX_EVENT_BYTES) {
-                return false;
+    boolean feed(byte[] part) {
+        if (size >= MAX_EVENT_BYTES) {
+            return false;
+        }
+        append(part);
+        int eventStart = 0;
+        for (; scanned < size; scanned++) {
+            if (buffer[scanned] != '\n') {
+                continue;
             }
-            event.write(b);
-            if (b == '\n') {
-                endLine();
-            } else if (b != '\r') {
-                lineHasText = true;
-                line.write(b);
+            if (isBlankLine()) {
+                reportEvent(eventStart, scanned + 1);
+                eventStart = scanned + 1;
+            } else {
+                readField();
             }
+            lineStart = scanned + 1;
         }
+        drop(eventStart);
         return true;
     }
 
+    private void append(byte[] part) {
+        int needed = size + part.length;
+        if (needed > buffer.length) {
+            buffer = Arrays.copyOf(buffer, Math.max(needed, 2 * buffer.length));
+        }
+        System.arraycopy(part, 0, buffer, size, part.length);
+        size = needed;
+    }
+
+    private void drop(int bytes) {
+        if (bytes > 0) {
+            System.arraycopy(buffer, bytes, buffer, 0, size - bytes);
+            size -= bytes;
+            scanned -= bytes;
+            lineStart -= bytes;
+        }
+    }
+
     /** Returns the bytes after the last complete event. */
     byte[] remainder() {
-        return event.toByteArray();
+        return Arrays.copyOf(buffer, size);
     }
 
-    private void endLine() {
-        if (lineHasText) {
-            readField();
-        } else {
-            OptionalLong eventId = id;
-            boolean eventHasData = hasData;
-            byte[] whole = event.toByteArray();
-            event.reset();
-            id = OptionalLong.empty();
-            hasData = false;
-            listener.onEvent(eventId, eventHasData, whole);
-        }
-        line.reset();
-        lineHasText = false;
+    /** Returns the number of bytes after the last complete event. */
+    int remainingBytes() {
+        return size;
+    }
+
+    private boolean isBlankLine() {
+        return lineStart == scanned || (lineStart == scanned - 1 && buffer[lineStart] == '\r');
+    }
+
+    private void reportEvent(int from, int to) {
+        OptionalLong eventId = id;
+        boolean eventHasData = hasData;
+        id = OptionalLong.empty();
+        hasData = false;
+        listener.onEvent(eventId, eventHasData, buffer, from, to - from);
     }
 
     private void readField() {
-        byte[] text = line.toByteArray();
-        hasData |= startsWith(text, DATA_FIELD);
-        if (startsWith(text, ID_FIELD)) {
-            id = parseId(new String(text, ID_FIELD.length, text.length - ID_FIELD.length, StandardCharsets.US_ASCII));
+        hasData |= lineStartsWith(DATA_FIELD);
+        if (lineStartsWith(ID_FIELD)) {
+            int valueStart = lineStart + ID_FIELD.length;
+            id = parseId(new String(buffer, valueStart, scanned - valueStart, StandardCharsets.US_ASCII));
         }
     }
 
-    private static boolean startsWith(byte[] text, byte[] field) {
-        return text.length >= field.length && Arrays.equals(text, 0, field.length, field, 0, field.length);
+    private boolean lineStartsWith(byte[] field) {
+        int end = lineStart + field.length;
+        return end <= scanned && Arrays.equals(buffer, lineStart, end, field, 0, field.length);
     }
 
     /** A stream cannot be resumed after a non-numeric id, so that its event counts as one without an id. */
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/ForwardedStream.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/ForwardedStream.java
@@ -1,10 +1,12 @@
 package io.hornbeamfield.entry.traffic;
 
 import io.hornbeamfield.core.attempt.AttemptOutcome;
+import io.hornbeamfield.core.attempt.InputAllowance;
 import io.hornbeamfield.core.attempt.StreamProgress;
 import io.hornbeamfield.core.route.RetryPolicy;
 import io.hornbeamfield.net.relay.Header;
 import io.hornbeamfield.net.relay.InboundRequest;
+import java.io.ByteArrayOutputStream;
 import java.time.Clock;
 import java.util.List;
 import java.util.Locale;
@@ -13,10 +15,20 @@
 
 /** Sends a stream to its caller; its events may come from several servers. */
 final class ForwardedStream {
+    /** A server that sends more than this without a new event sends no stream. */
+    private static final long MAX_INPUT_WITHOUT_EVENT = 2L * EventSplitter.MAX_EVENT_BYTES;
+
+    /** Handling a part costs about as much as copying this many bytes. */
+    private static final int PART_COST_BYTES = 64;
+
     private final InboundRequest request;
     private final Clock clock;
     private final long arrivedMs;
     private final StreamProgress progress = new StreamProgress();
+    /** The new events of a part, which are written together. */
+    private final ByteArrayOutputStream output = new ByteArrayOutputStream(256);
+
+    private final InputAllowance allowance = new InputAllowance(MAX_INPUT_WITHOUT_EVENT, PART_COST_BYTES);
     private EventSplitter splitter = new EventSplitter(this::forward);
     private @Nullable Attempt source;
     private boolean started;
@@ -50,7 +62,7 @@
 
     /** Returns the outcome of an attempt, given the outcome of its answer without regard to the stream so far. */
     AttemptOutcome outcomeOf(Attempt ended, AttemptOutcome outcome) {
-        return progress.outcomeOf(outcome, ended.isStream(), splitter.remainder().length > 0);
+        return progress.outcomeOf(outcome, ended.isStream(), splitter.remainingBytes() > 0);
     }
 
     /** Records that a further server answers the request. */
@@ -59,6 +71,7 @@
         source = attempt;
         // A partial event of a broken attempt must not be joined with the events of the next attempt.
         splitter = new EventSplitter(this::forward);
+        allowance.renew();
     }
 
     /** Returns whether a successful answer can be a part of the stream: it must have the type of the first answer. */
@@ -79,18 +92,29 @@
         return firstEventMs;
     }
 
-    /** Forwards the new events of a part of the current answer. Returns false if an event is too large. */
+    /**
+     * Forwards the new events of a part of the current answer, in one write. Returns false if the server has sent too
+     * much without a new event.
+     */
     boolean forward(byte[] part) {
-        return splitter.feed(part);
+        boolean valid = allowance.charge(part.length) && splitter.feed(part);
+        if (output.size() > 0) {
+            request.write(output.toByteArray());
+            output.reset();
+        }
+        return valid;
     }
 
-    private void forward(OptionalLong id, boolean hasData, byte[] event) {
+    private void forward(OptionalLong id, boolean hasData, byte[] buffer, int offset, int length) {
         Attempt from = source;
         if (from == null || !progress.accept(id, hasData)) {
             return;
         }
         start(from);
-        request.write(event);
+        output.write(buffer, offset, length);
+        if (id.isPresent() || hasData) {
+            allowance.renew();
+        }
         if (id.isPresent()) {
             from.recordEvent(clock.millis());
         }
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/PromptParts.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/PromptParts.java
@@ -62,7 +62,7 @@
      */
     boolean reportIfSuspect(Attempt ended, AttemptOutcome end) {
         boolean answerBegun = served || ended.hasOutlivedStart(context.clock().millis());
-        if (end != AttemptOutcome.BROKEN || ids.isEmpty() || answerBegun) {
+        if (end != AttemptOutcome.BROKEN || ended.isExcessive() || ids.isEmpty() || answerBegun) {
             return false;
         }
         BackendServer server = ended.pool().server();
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
@@ -176,11 +176,10 @@
             return;
         }
         if (!stream.forward(part)) {
-            source.endAsBroken("an event exceeds " + EventSplitter.MAX_EVENT_BYTES + " bytes");
+            source.endAsExcessive("the server sends without end and without a new event");
         } else if (request.unsentBytes() > MAX_CALLER_BACKLOG_BYTES) {
             cancelAttempt();
-            finish("caller-too-slow", 0);
-            request.cut();
+            abortStream("caller-too-slow");
         } else {
             parts.recordProgress(source.hasOutlivedStart(context.clock().millis()));
         }
@@ -218,7 +217,7 @@
         cancel(silenceTimer);
         boolean mayHaveRun = end != AttemptOutcome.NOT_CONNECTED && end != AttemptOutcome.DECLINED;
         possibleRuns += mayHaveRun ? 1 : 0;
-        context.pools().suspendIfUnreachable(ended, end, reason);
+        context.pools().suspendIfUnusable(ended, end, reason);
         boolean suspect = parts.reportIfSuspect(ended, end);
         NextStep step = AttemptPolicy.next(end, suspect ? state(possibleRuns, false) : stateAfter(end));
         if (step != NextStep.DELIVER || end != AttemptOutcome.ANSWERED) {
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerConnectionPools.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerConnectionPools.java
@@ -151,11 +151,14 @@
         pool.reportSilence();
     }
 
-    /** Suspends the server of an attempt if it is unreachable, or if its address now belongs to another server. */
-    void suspendIfUnreachable(Attempt ended, AttemptOutcome end, String reason) {
+    /**
+     * Suspends the server of an attempt if it is unreachable, if it sends without end, or if its address now belongs to
+     * another server.
+     */
+    void suspendIfUnusable(Attempt ended, AttemptOutcome end, String reason) {
         boolean unreachable = end == AttemptOutcome.NOT_CONNECTED && !reason.contains("connections are in use");
         boolean replaced = end == AttemptOutcome.DECLINED && ended.status() == Wire.WRONG_SERVER;
-        if (unreachable || replaced) {
+        if (unreachable || replaced || ended.isExcessive()) {
             suspend(ended.pool(), reason);
         }
     }
--- a/entry/src/test/java/io/hornbeamfield/entry/EntryFixture.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/EntryFixture.java
@@ -123,6 +123,10 @@
         return settings.get(entry).callerAddress();
     }
 
+    String readiness(int entry) {
+        return settings.get(entry).readinessAddress();
+    }
+
     String directory(int entry) {
         return settings.get(entry).directoryAddress();
     }
--- a/entry/src/test/java/io/hornbeamfield/entry/traffic/EventSplitterTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/traffic/EventSplitterTest.java
@@ -12,9 +12,9 @@
 final class EventSplitterTest {
     private final List<String> events = new ArrayList<>();
     private final List<OptionalLong> ids = new ArrayList<>();
-    private final EventSplitter splitter = new EventSplitter((id, hasData, bytes) -> {
+    private final EventSplitter splitter = new EventSplitter((id, hasData, bytes, offset, length) -> {
         ids.add(id);
-        events.add(new String(bytes, StandardCharsets.UTF_8));
+        events.add(new String(bytes, offset, length, StandardCharsets.UTF_8));
     });
 
     private void feed(String text) {
