End a stream that has more events than its request allows

A server that sends small events with rising ids without end held up lookups for over two seconds, and its stream went on until the deadline of its route.

Change: StreamProgress accepts no more events than the output tokens that the request declares, and 16 more for events such as an end marker. The stream is cut and its server suspended until it passes a health check. Without a declaration the timeout of the route remains the bound.

Why it works: each event holds one output token or more, so that a sound answer cannot have more.

--- a/core/src/main/java/io/hornbeamfield/core/attempt/StreamProgress.java
+++ b/core/src/main/java/io/hornbeamfield/core/attempt/StreamProgress.java
@@ -8,6 +8,7 @@
  * the stream and whether the end of an answer is the end of the stream. Not thread-safe.
  *
  * <pre>{@code
+ * StreamProgress progress = StreamProgress.ofTokens(400);
  * progress.attemptStarted();
  * if (progress.accept(id, true)) {
  *     forward(event);
@@ -16,11 +17,30 @@
  * }</pre>
  */
 public final class StreamProgress {
+    /** Events beside those with output, for example an end marker. */
+    private static final int MAX_EXTRA_PIECES = 16;
+
+    private final long maxPieces;
     private boolean begun;
     private boolean positionKnown = true;
     private boolean attemptContinues;
     private long lastEventId = -1;
     private long pieces;
+    private boolean excessive;
+
+    private StreamProgress(long maxPieces) {
+        this.maxPieces = maxPieces;
+    }
+
+    /** Starts a stream of which each event holds one or more of the given number of output tokens. */
+    public static StreamProgress ofTokens(long maxOutputTokens) {
+        return new StreamProgress(maxOutputTokens + MAX_EXTRA_PIECES);
+    }
+
+    /** Starts a stream whose size is not known. */
+    public static StreamProgress unlimited() {
+        return new StreamProgress(Long.MAX_VALUE);
+    }
 
     /** Returns whether the caller has received a part of the stream. */
     public boolean begun() {
@@ -37,6 +57,11 @@
         return pieces;
     }
 
+    /** Returns whether the servers sent more events than the answer can have. */
+    public boolean exceedsMaximum() {
+        return excessive;
+    }
+
     /** Records that a further server answers the request. */
     public void attemptStarted() {
         attemptContinues = !begun;
@@ -51,6 +76,11 @@
         if (id.isPresent() ? id.getAsLong() <= lastEventId : !attemptContinues) {
             return false;
         }
+        boolean isPiece = id.isPresent() || hasData;
+        if (isPiece && pieces >= maxPieces) {
+            excessive = true;
+            return false;
+        }
         begun = true;
         attemptContinues = true;
         if (id.isPresent()) {
@@ -59,7 +89,7 @@
         } else if (hasData) {
             positionKnown = false;
         }
-        pieces += id.isPresent() || hasData ? 1 : 0;
+        pieces += isPiece ? 1 : 0;
         return true;
     }
 
--- a/core/src/test/java/io/hornbeamfield/core/attempt/StreamProgressTest.java
+++ b/core/src/test/java/io/hornbeamfield/core/attempt/StreamProgressTest.java
@@ -10,7 +10,7 @@
 final class StreamProgressTest {
     private static final OptionalLong NO_ID = OptionalLong.empty();
 
-    private final StreamProgress progress = new StreamProgress();
+    private final StreamProgress progress = StreamProgress.unlimited();
 
     private void receive(long... ids) {
         progress.attemptStarted();
@@ -88,4 +88,16 @@
         assertThat(progress.pieces()).isZero();
         assertThat(answeredStream()).isEqualTo(AttemptOutcome.BROKEN);
     }
+
+    /** Guards against a server that sends small events without end. */
+    @Test
+    void aStreamHasNoMoreEventsThanOutputTokensAndAFewMore() {
+        StreamProgress limited = StreamProgress.ofTokens(100);
+        limited.attemptStarted();
+        for (int i = 0; i < 1_000; i++) {
+            limited.accept(i % 2 == 0 ? NO_ID : OptionalLong.of(i), true);
+            assertThat(limited.exceedsMaximum()).isEqualTo(i >= 116);
+        }
+        assertThat(limited.pieces()).isEqualTo(116);
+    }
 }
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/ForwardedStream.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/ForwardedStream.java
@@ -24,7 +24,7 @@
     private final InboundRequest request;
     private final Clock clock;
     private final long arrivedMs;
-    private final StreamProgress progress = new StreamProgress();
+    private final StreamProgress progress;
     /** The new events of a part, which are written together. */
     private final ByteArrayOutputStream output = new ByteArrayOutputStream(256);
 
@@ -35,7 +35,8 @@
     private String mediaType = "";
     private long firstEventMs = -1;
 
-    ForwardedStream(InboundRequest request, Clock clock) {
+    ForwardedStream(InboundRequest request, long maxOutputTokens, Clock clock) {
+        this.progress = maxOutputTokens > 0 ? StreamProgress.ofTokens(maxOutputTokens) : StreamProgress.unlimited();
         this.request = request;
         this.clock = clock;
         this.arrivedMs = clock.millis();
@@ -55,6 +56,11 @@
         return progress.pieces();
     }
 
+    /** Returns whether the servers sent more events than the answer can have. */
+    boolean exceedsMaximum() {
+        return progress.exceedsMaximum();
+    }
+
     /** Returns the retry policy for the rest of the request. */
     RetryPolicy retryPolicy(RetryPolicy declared) {
         return progress.retryPolicy(declared);
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
@@ -82,7 +82,7 @@
         this.tokens = new TokenReservation(context, head, workspace, this);
         this.servers = new ServerSelection(context, service, spec, head);
         this.parts = new PromptParts(context, service, head);
-        this.stream = new ForwardedStream(request, context.clock());
+        this.stream = new ForwardedStream(request, head.maxOutputTokens(), context.clock());
     }
 
     void start() {
@@ -177,6 +177,10 @@
         }
         if (!stream.forward(part)) {
             source.endAsExcessive("the server sends without end and without a new event");
+        } else if (stream.exceedsMaximum()) {
+            context.pools().suspend(source.pool(), "more events than output tokens");
+            cancelAttempt();
+            abortStream("too-many-events");
         } else if (request.unsentBytes() > MAX_CALLER_BACKLOG_BYTES) {
             cancelAttempt();
             abortStream("caller-too-slow");
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerConnectionPools.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerConnectionPools.java
@@ -69,7 +69,7 @@
     }
 
     /** Suspends a server until it passes a health check. */
-    private void suspend(ServerConnectionPool pool, String reason) {
+    void suspend(ServerConnectionPool pool, String reason) {
         String id = pool.server().id();
         if (!suspended.add(id)) {
             return;
--- a/entry/src/test/java/io/hornbeamfield/entry/EndlessInputTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/EndlessInputTest.java
@@ -48,6 +48,9 @@
                 input("empty lines without a length", STREAM + "\r\n", i -> "\n".repeat(PART_BYTES)),
                 input("comments", stream, i -> RawServer.chunk(":\n\n".repeat(PART_BYTES / 3))),
                 input("a line without an end", stream, i -> RawServer.chunk("x".repeat(PART_BYTES))),
+                input("events without ids", stream, i -> RawServer.chunk("data:\n\n".repeat(PART_BYTES / 7))),
+                input("events with ids", stream, i -> RawServer.chunk(events(i))),
+                input("events in chunks of their own", stream, EndlessInputTest::chunkedEvents),
                 input("an event again and again", stream, i -> RawServer.chunk("id:1\ndata:\n\n".repeat(5_000))));
     }
 
@@ -55,6 +58,22 @@
         return Arguments.of(name, head, part);
     }
 
+    private static String events(int part) {
+        StringBuilder text = new StringBuilder();
+        for (int i = 0; i < 5_000; i++) {
+            text.append("id:").append(part * 5_000L + i + 1).append("\n\n");
+        }
+        return text.toString();
+    }
+
+    private static String chunkedEvents(int part) {
+        StringBuilder text = new StringBuilder();
+        for (int i = 0; i < 5_000; i++) {
+            text.append(RawServer.chunk("id:" + (part * 5_000L + i + 1) + "\n\n"));
+        }
+        return text.toString();
+    }
+
     private boolean sendWithoutEnd(String head, OutputStream out, String answerHead, IntFunction<String> part) {
         try {
             RawServer.write(out, answerHead.replace("%s", RawServer.signed(head)));
