Bound the work of a read and of input without content

Cause: reads had a fixed size whatever work their content causes (5,461 chunks of a byte in 32 KB, each a pass through the filters and the lock), and bytes that are no content had no bound: Grizzly bounds heads and chunk sizes, but not trailers, whose names it checks anew with each read. A health check read the body of its response until its timeout.

Change: core.attempt.ReadSize shrinks the reads of a connection with many parts (256 bytes at the least) and starts at 4 KB; ConnectionInput ends a connection after 128 KB without a head or 2 KB of a body without content; 16 interim heads at most; a buffered body counts 1 KB more a part; a health check ends with the head. The same reads and bounds hold for callers' connections.

Evidence: EndlessInputTest, all 19 kinds.

Why it works: what one read costs is bounded by its parts, and what a connection can send is bounded by what it brings.

--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/Attempt.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/Attempt.java
@@ -1,6 +1,7 @@
 package io.hornbeamfield.entry.traffic;
 
 import io.hornbeamfield.core.attempt.AttemptOutcome;
+import io.hornbeamfield.core.attempt.InputAllowance;
 import io.hornbeamfield.net.relay.Header;
 import io.hornbeamfield.net.relay.OutboundConnection;
 import io.hornbeamfield.net.relay.OutboundListener;
@@ -17,6 +18,9 @@
     /** A larger response cannot be buffered until it is complete. */
     private static final int MAX_BUFFERED_BYTES = 8 * 1024 * 1024;
 
+    /** Bounds the number of parts of a buffered response to some thousands. */
+    private static final int BODY_PART_COST_BYTES = 1_024;
+
     private static final int FIRST_SERVER_ERROR = 500;
 
     /** A server that crashes when it starts an answer may have sent some events of it. */
@@ -28,6 +32,7 @@
     private final long stallTimeoutMs;
     private final Supplier<OutboundRequest> request;
     private final Listener listener;
+    private final InputAllowance bodyAllowance = new InputAllowance(MAX_BUFFERED_BYTES, BODY_PART_COST_BYTES);
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private @Nullable OutboundConnection connection;
     private boolean sent;
@@ -158,10 +163,9 @@
             }
             markPromptRead();
             listener.onStreamData(this, part);
-        } else if (body.size() + part.length > MAX_BUFFERED_BYTES) {
-            discardAndEnd(
-                    AttemptOutcome.BROKEN,
-                    "the response exceeds " + MAX_BUFFERED_BYTES + " bytes: got " + (body.size() + part.length));
+        } else if (!bodyAllowance.charge(part.length)) {
+            endAsExcessive("the response exceeds " + MAX_BUFFERED_BYTES + " bytes: got " + (body.size() + part.length)
+                    + ", each part counted with " + BODY_PART_COST_BYTES + " more");
         } else {
             body.writeBytes(part);
         }
@@ -195,6 +199,11 @@
         }
     }
 
+    @Override
+    public void onExcessiveInput(String reason) {
+        endAsExcessive(reason);
+    }
+
     /** Cancels the attempt without notifying the listener. */
     void cancel() {
         if (!done) {
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerConnectionPools.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerConnectionPools.java
@@ -185,8 +185,6 @@
         private final String path;
         private @Nullable OutboundConnection connection;
         private boolean done;
-        private int status;
-        private String answeredBy = "";
 
         HealthCheck(ServerConnectionPool pool, String path) {
             this.pool = pool;
@@ -210,22 +208,22 @@
         }
 
         @Override
-        public void onHead(int answerStatus, List<Header> headers) {
-            status = answerStatus;
-            answeredBy = Header.find(headers, Wire.SERVER_ID).orElse("");
+        public void onHead(int status, List<Header> headers) {
+            String answeredBy = Header.find(headers, Wire.SERVER_ID).orElse("");
+            // The address of a terminated server may already belong to another one.
+            boolean other =
+                    !answeredBy.isEmpty() && !answeredBy.equals(pool.server().id());
+            finish(status == HTTP_OK && !other, other ? "answered by " + answeredBy : "status " + status);
         }
 
         @Override
         public void onData(byte[] part) {
-            // Only the status is evaluated.
+            // The check ends with the head, because the body may have no end.
         }
 
         @Override
         public void onEnd(boolean reusable) {
-            // The address of a terminated server may already belong to another one.
-            boolean other =
-                    !answeredBy.isEmpty() && !answeredBy.equals(pool.server().id());
-            finish(status == HTTP_OK && !other, other ? "answered by " + answeredBy : "status " + status);
+            // The check has ended with the head.
         }
 
         @Override
--- a/entry/src/test/java/io/hornbeamfield/entry/EndlessInputTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/EndlessInputTest.java
@@ -43,15 +43,36 @@
 
     static Stream<Arguments> endlessAnswers() {
         String stream = STREAM + CHUNKED;
+        String failure = "HTTP/1.1 500 Failed\r\n%s" + CHUNKED;
         return Stream.of(
                 input("empty lines", stream, i -> RawServer.chunk("\n".repeat(PART_BYTES))),
                 input("empty lines without a length", STREAM + "\r\n", i -> "\n".repeat(PART_BYTES)),
+                input(
+                        "empty lines in chunks of a byte",
+                        stream,
+                        i -> RawServer.chunk("\n").repeat(PART_BYTES / 6)),
                 input("comments", stream, i -> RawServer.chunk(":\n\n".repeat(PART_BYTES / 3))),
                 input("a line without an end", stream, i -> RawServer.chunk("x".repeat(PART_BYTES))),
+                input(
+                        "a line in chunks of a byte",
+                        stream,
+                        i -> RawServer.chunk("x").repeat(PART_BYTES / 6)),
                 input("events without ids", stream, i -> RawServer.chunk("data:\n\n".repeat(PART_BYTES / 7))),
                 input("events with ids", stream, i -> RawServer.chunk(events(i))),
                 input("events in chunks of their own", stream, EndlessInputTest::chunkedEvents),
-                input("an event again and again", stream, i -> RawServer.chunk("id:1\ndata:\n\n".repeat(5_000))));
+                input("an event again and again", stream, i -> RawServer.chunk("id:1\ndata:\n\n".repeat(5_000))),
+                input("interim heads", "", i -> "HTTP/1.1 100 Continue\r\n\r\n".repeat(PART_BYTES / 25)),
+                input("early hints", "", i -> "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n".repeat(PART_BYTES / 37)),
+                input("a head", "HTTP/1.1 200 OK\r\n", i -> "X-Line: x\r\n".repeat(PART_BYTES / 11)),
+                input("a header line", "HTTP/1.1 200 OK\r\nX-Line: ", i -> "x".repeat(PART_BYTES)),
+                input("a chunk size", stream, i -> "0".repeat(PART_BYTES)),
+                input("a chunk extension", stream + "1;", i -> "x".repeat(PART_BYTES)),
+                input("trailers", stream + RawServer.chunk("id:1\n\n") + "0\r\n", i -> "X: x\r\n".repeat(10_000)),
+                input("the body of a failure", failure, i -> RawServer.chunk("x".repeat(PART_BYTES))),
+                input(
+                        "the body of a failure in small chunks",
+                        failure,
+                        i -> RawServer.chunk("x").repeat(PART_BYTES / 6)));
     }
 
     private static Arguments input(String name, String head, IntFunction<String> part) {
--- a/net/src/main/java/io/hornbeamfield/net/relay/OutboundListener.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/OutboundListener.java
@@ -2,7 +2,10 @@
 
 import java.util.List;
 
-/** Receives a response as it arrives. The last call is exactly one of {@link #onEnd} and {@link #onBroken}. */
+/**
+ * Receives a response as it arrives. The last call is exactly one of {@link #onEnd}, {@link #onBroken} and
+ * {@link #onExcessiveInput}.
+ */
 public interface OutboundListener {
     /** Called once with the status and the headers of the final response. */
     void onHead(int status, List<Header> headers);
@@ -19,4 +22,9 @@
 
     /** Called when the exchange fails before the response is complete. */
     void onBroken(String reason);
+
+    /** Called in place of {@link #onBroken} when the server sends more than a valid response can have. */
+    default void onExcessiveInput(String reason) {
+        onBroken(reason);
+    }
 }
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyRelayTransport.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyRelayTransport.java
@@ -23,9 +23,6 @@
 
 /** Relay transport over Grizzly's HTTP codec filters. */
 public final class GrizzlyRelayTransport implements RelayTransport {
-    /** Larger than any configured limit; {@link InboundFilter} enforces the configured one. */
-    private static final int MAX_HEADER_BYTES = 128 * 1024;
-
     private static final int ACCEPT_BACKLOG = 1_024;
 
     private final TCPNIOTransport transport;
@@ -37,9 +34,9 @@
         this.transport = transport;
         this.serial = serial;
         this.clientChain = FilterChainBuilder.stateless()
-                .add(new ReadFilter())
+                .add(new ReadFilter(OutboundFilter::endExcessive))
                 .add(new UnexpectedBytesFilter())
-                .add(new HttpClientFilter(MAX_HEADER_BYTES))
+                .add(new HttpClientFilter(ConnectionInput.MAX_HEADER_BYTES))
                 .add(new OutboundFilter())
                 .build();
     }
@@ -68,9 +65,9 @@
         keepAlive.setIdleTimeoutInSeconds(-1);
         keepAlive.setMaxRequestsCount(-1);
         FilterChain chain = FilterChainBuilder.stateless()
-                .add(new ReadFilter())
+                .add(new ReadFilter(Connection::terminateSilently))
                 .add(new InboundConnectionFilter(inbound, limits))
-                .add(new RequestCodecFilter(MAX_HEADER_BYTES, keepAlive))
+                .add(new RequestCodecFilter(ConnectionInput.MAX_HEADER_BYTES, keepAlive))
                 .add(new InboundFilter(serial, handler, inbound, limits))
                 .build();
         InetSocketAddress bindAddress = socketAddress(address);
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundFilter.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundFilter.java
@@ -37,6 +37,7 @@
     @Override
     public NextAction handleRead(FilterChainContext ctx) {
         HttpContent content = ctx.getMessage();
+        ConnectionInput.of(ctx.getConnection()).parsed(content);
         InboundState state = InboundConnections.stateOf(ctx.getConnection());
         if (state != null) {
             serial.run(() -> read(ctx.getConnection(), state, content));
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/OutboundExchange.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/OutboundExchange.java
@@ -19,11 +19,15 @@
     static final Attribute<OutboundExchange> CURRENT =
             Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("hornbeamfield-outbound");
 
-    private static final int FIRST_FINAL_STATUS = 200;
+    static final int FIRST_FINAL_STATUS = 200;
+
+    /** A server that sends more heads before that of its response sends no response. */
+    private static final int MAX_INTERIM_HEADS = 16;
 
     private final Connection<?> connection;
     private final Serial serial;
     private final OutboundListener listener;
+    private int interimHeads;
     private boolean headReceived;
     private boolean delimitedByClose;
     private boolean done;
@@ -45,7 +49,13 @@
 
     private void handleContent(HttpContent content) {
         HttpResponsePacket head = (HttpResponsePacket) content.getHttpHeader();
-        if (done || head.getStatus() < FIRST_FINAL_STATUS) {
+        if (done) {
+            return;
+        }
+        if (head.getStatus() < FIRST_FINAL_STATUS) {
+            if (++interimHeads > MAX_INTERIM_HEADS) {
+                failExcessive("the server sent " + interimHeads + " interim heads");
+            }
             return;
         }
         if (!headReceived) {
@@ -104,11 +114,20 @@
     }
 
     void fail(String reason) {
+        end(() -> listener.onBroken(reason));
+    }
+
+    /** Ends the exchange because the server sends more than a valid response can have. */
+    void failExcessive(String reason) {
+        end(() -> listener.onExcessiveInput(reason));
+    }
+
+    private void end(Runnable report) {
         serial.run(() -> {
             if (!done) {
                 finish();
                 connection.terminateSilently();
-                listener.onBroken(reason);
+                report.run();
             }
         });
     }
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/OutboundFilter.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/OutboundFilter.java
@@ -12,6 +12,7 @@
     public NextAction handleRead(FilterChainContext ctx) {
         HttpContent content = ctx.getMessage();
         Connection<?> connection = ctx.getConnection();
+        ConnectionInput.of(connection).parsed(content);
         OutboundExchange exchange = OutboundExchange.CURRENT.get(connection);
         if (exchange == null) {
             connection.terminateSilently();
@@ -22,6 +23,16 @@
         return ctx.getStopAction();
     }
 
+    /** Ends a connection that has sent too much without content. */
+    static void endExcessive(Connection<?> connection) {
+        OutboundExchange exchange = OutboundExchange.CURRENT.get(connection);
+        if (exchange == null) {
+            connection.terminateSilently();
+        } else {
+            exchange.failExcessive("the response goes on without content");
+        }
+    }
+
     @Override
     public void exceptionOccurred(FilterChainContext ctx, Throwable error) {
         OutboundExchange exchange = OutboundExchange.CURRENT.get(ctx.getConnection());
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/ReadFilter.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/ReadFilter.java
@@ -1,8 +1,11 @@
 package io.hornbeamfield.net.relay.internal;
 
+import io.hornbeamfield.core.attempt.ReadSize;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
+import java.util.function.Consumer;
+import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
 import org.glassfish.grizzly.filterchain.TransportFilter;
@@ -10,21 +13,27 @@
 import org.glassfish.grizzly.nio.NIOConnection;
 
 /**
- * Reads from connections and records how they were closed. Grizzly's own filter reports a reset like an orderly close,
- * but a response without a length is complete only after an orderly close.
+ * Reads from connections, as much at once as their input allows, and records how they were closed. Grizzly's own filter
+ * reports a reset like an orderly close, but a response without a length is complete only after an orderly close.
  */
 final class ReadFilter extends TransportFilter {
-    private static final int READ_BYTES = 32 * 1024;
-
     /** Shared by all connections, since the transport reads them on a single thread. */
-    private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(READ_BYTES);
+    private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(ReadSize.MAX_BYTES);
+
+    private final Consumer<Connection<?>> onExcess;
+
+    /** Creates a filter that passes connections to the callback that send too much without content. */
+    ReadFilter(Consumer<Connection<?>> onExcess) {
+        this.onExcess = onExcess;
+    }
 
     @Override
     public NextAction handleRead(FilterChainContext ctx) {
         NIOConnection connection = (NIOConnection) ctx.getConnection();
+        ConnectionInput input = ConnectionInput.of(connection);
         int read;
         try {
-            readBuffer.clear();
+            readBuffer.clear().limit(input.nextReadBytes());
             read = ((SocketChannel) connection.getChannel()).read(readBuffer);
         } catch (IOException e) {
             return closeAfter(ctx, ConnectionEnd.RESET);
@@ -35,6 +44,10 @@
         if (read == 0) {
             return ctx.getStopAction();
         }
+        if (!input.readReceived(read)) {
+            onExcess.accept(connection);
+            return ctx.getStopAction();
+        }
         byte[] bytes = new byte[read];
         readBuffer.flip().get(bytes);
         ctx.setMessage(Buffers.wrap(null, bytes));
