Bound the memory of all answers together

Cause: each body that is collected may have 8 MB and each caller may leave 1 MB unread, whatever the number of requests and the size of the heap (64 MB).

Change: core.attempt.BufferPool counts what all answers occupy; beyond an eighth of the heap those with the most are ended, so that small ones are not affected.

Why it works: the largest answers are those without an end; the pool counts again as soon as what was added since the last count could exceed the limit. What a slow caller has left unread of an answer that has ended is not counted.

--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/Attempt.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/Attempt.java
@@ -55,6 +55,9 @@
         /** A part of a successful stream has arrived. */
         void onStreamData(Attempt attempt, byte[] part);
 
+        /** A part of an answer that is not forwarded as it arrives was collected. */
+        void onBodyData(int bytes);
+
         /**
          * The server is silent, or the stream has had no event for too long; the attempt continues unless the listener
          * ends it.
@@ -104,6 +107,10 @@
         return headers;
     }
 
+    int bodyBytes() {
+        return body.size();
+    }
+
     byte[] body() {
         return body.toByteArray();
     }
@@ -168,6 +175,7 @@
                     + ", each part counted with " + BODY_PART_COST_BYTES + " more");
         } else {
             body.writeBytes(part);
+            listener.onBodyData(part.length);
         }
     }
 
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/ForwardedStream.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/ForwardedStream.java
@@ -56,6 +56,11 @@
         return progress.pieces();
     }
 
+    /** Returns the number of bytes that wait for the rest of their event or for the caller. */
+    long bufferedBytes() {
+        return splitter.remainingBytes() + request.unsentBytes();
+    }
+
     /** Returns whether the servers sent more events than the answer can have. */
     boolean exceedsMaximum() {
         return progress.exceedsMaximum();
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
@@ -3,6 +3,7 @@
 import io.hornbeamfield.core.attempt.AttemptOutcome;
 import io.hornbeamfield.core.attempt.AttemptPolicy;
 import io.hornbeamfield.core.attempt.AttemptState;
+import io.hornbeamfield.core.attempt.BufferPool;
 import io.hornbeamfield.core.attempt.FirstAnswerTimeout;
 import io.hornbeamfield.core.attempt.NextStep;
 import io.hornbeamfield.core.attempt.StallTimeout;
@@ -18,14 +19,12 @@
 import io.hornbeamfield.net.relay.OutboundRequest;
 import io.hornbeamfield.platform.RequestHead;
 import java.util.List;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.Future;
-import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 
 /** Lifecycle of one admitted request, from the reservation of its tokens to its response. */
-final class RequestFlow implements Attempt.Listener, TokenReservation.Listener {
+final class RequestFlow implements Attempt.Listener, TokenReservation.Listener, BufferPool.Holder {
     /** Lets a response that a server sends at the deadline arrive first. */
     private static final long DEADLINE_GRACE_MS = 60;
 
@@ -42,7 +41,6 @@
     private final String service;
     private final Optional<ServiceSpec> spec;
     private final Optional<WorkspaceAccess> workspace;
-    private final long configVersion;
     private final long arrivedMs;
     private final long deadlineMs;
     private final Runnable onDone;
@@ -50,6 +48,7 @@
     private final PromptParts parts;
     private final ForwardedStream stream;
     private final ServerSelection servers;
+    private final RequestLog log;
     private @Nullable Attempt attempt;
     private @Nullable Future<?> deadlineTimer;
     private @Nullable Future<?> silenceTimer;
@@ -74,7 +73,6 @@
         this.service = service;
         this.spec = context.blackboard().config().flatMap(c -> c.service(service));
         this.workspace = workspace;
-        this.configVersion = configVersion;
         this.arrivedMs = context.clock().millis();
         this.deadlineMs = arrivedMs + Math.min(head.timeLeftMs().orElse(Long.MAX_VALUE), route.maxDurationMs());
         this.rateWaitLeftMs = route.objectiveMs() / 2;
@@ -83,6 +81,8 @@
         this.servers = new ServerSelection(context, service, spec, head);
         this.parts = new PromptParts(context, service, head);
         this.stream = new ForwardedStream(request, head.maxOutputTokens(), context.clock());
+        this.log = new RequestLog(
+                context, head, route, service, workspace, configVersion, parts, servers, stream, arrivedMs, deadlineMs);
     }
 
     void start() {
@@ -132,6 +132,7 @@
         }
         ServerConnectionPool pool = chosen.get();
         attempts++;
+        context.buffers().add(this);
         long prompt = route.retryPolicy().isStream() ? head.promptTokens() : 0;
         Attempt next = new Attempt(
                 pool,
@@ -186,6 +187,30 @@
             abortStream("caller-too-slow");
         } else {
             parts.recordProgress(source.hasOutlivedStart(context.clock().millis()));
+            context.buffers().grown(part.length);
+        }
+    }
+
+    @Override
+    public void onBodyData(int bytes) {
+        context.buffers().grown(bytes);
+    }
+
+    @Override
+    public long bufferedBytes() {
+        Attempt running = attempt;
+        return stream.bufferedBytes() + (running == null ? 0 : running.bodyBytes());
+    }
+
+    /** Ends the attempt or, if its events wait for the caller, the request, because all answers occupy too much. */
+    @Override
+    public void release() {
+        Attempt running = attempt;
+        if (stream.started() || running == null) {
+            cancelAttempt();
+            abortStream("buffers-full");
+        } else {
+            running.endAsExcessive("the answers of all servers occupy too much memory, and this one the most");
         }
     }
 
@@ -225,20 +250,7 @@
         boolean suspect = parts.reportIfSuspect(ended, end);
         NextStep step = AttemptPolicy.next(end, suspect ? state(possibleRuns, false) : stateAfter(end));
         if (step != NextStep.DELIVER || end != AttemptOutcome.ANSWERED) {
-            context.log()
-                    .event("attempt-ended")
-                    .field("id", head.attemptId())
-                    .field("server", ended.pool().server().id())
-                    .field("attempt", attempts)
-                    .field("end", end.name())
-                    .field("reason", reason)
-                    .field("answerBegun", ended.lastEventMs() > 0 ? 1 : 0)
-                    .field("parts", parts.describe())
-                    .field("suspect", suspect ? 1 : 0)
-                    .field("possibleRuns", possibleRuns)
-                    .field("leftMs", remainingMs())
-                    .field("next", step.name())
-                    .write();
+            log.attemptEnded(ended, end, reason, suspect, attempts, possibleRuns, step);
         }
         execute(step, ended, reason);
     }
@@ -352,35 +364,14 @@
 
     private void finish(String outcome, int status) {
         done = true;
+        context.buffers().remove(this);
         cancel(deadlineTimer);
         cancel(silenceTimer);
         int tokensPerEvent = spec.flatMap(ServiceSpec::engine)
                 .map(EngineSpec::tokensPerEvent)
                 .orElse(1);
         long used = tokens.end(possibleRuns > 0 || status / 100 == 2, stream.events() * tokensPerEvent);
-        long durationMs = context.clock().millis() - arrivedMs;
-        context.metrics().counter("requests." + outcome).inc();
-        context.metrics()
-                .timer("request." + route.retryPolicy().name().toLowerCase(Locale.ROOT))
-                .update(durationMs, TimeUnit.MILLISECONDS);
-        context.log()
-                .event("request")
-                .field("id", head.attemptId())
-                .field("route", route.name())
-                .field("service", service)
-                .field("workspace", workspace.map(WorkspaceAccess::name).orElse(""))
-                .field("parts", parts.describe())
-                .field("config", configVersion)
-                .field("servers", servers.describeTried())
-                .field("attempts", attempts)
-                .field("outcome", outcome)
-                .field("status", status)
-                .field("ms", durationMs)
-                .field("firstEventMs", stream.firstEventMs())
-                .field("events", stream.events())
-                .field("tokens", used)
-                .field("limitMs", deadlineMs - arrivedMs)
-                .write();
+        log.requestEnded(outcome, status, attempts, used);
         onDone.run();
     }
 
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/Traffic.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/Traffic.java
@@ -1,5 +1,6 @@
 package io.hornbeamfield.entry.traffic;
 
+import io.hornbeamfield.core.attempt.BufferPool;
 import io.hornbeamfield.core.prepaid.PrepaidHoldings;
 import io.hornbeamfield.core.quarantine.PartActivity;
 import io.hornbeamfield.core.route.CallerLimits;
@@ -28,6 +29,9 @@
 public final class Traffic {
     private static final long TICK_MS = 250;
 
+    /** Leaves room for the copies that are made while buffers grow. */
+    private static final long BUFFERS_PER_HEAP = 8;
+
     private final RelayHandler handler;
     private final ServerConnectionPools pools;
     private final PrepaidQueue prepaid;
@@ -67,6 +71,7 @@
                 pools,
                 retries,
                 refusals,
+                new BufferPool(Runtime.getRuntime().maxMemory() / BUFFERS_PER_HEAP),
                 partActivity,
                 crashListener,
                 metrics,
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/TrafficContext.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/TrafficContext.java
@@ -1,5 +1,6 @@
 package io.hornbeamfield.entry.traffic;
 
+import io.hornbeamfield.core.attempt.BufferPool;
 import io.hornbeamfield.core.prepaid.PrepaidHoldings;
 import io.hornbeamfield.core.quarantine.PartActivity;
 import io.hornbeamfield.entry.Blackboard;
@@ -18,6 +19,7 @@
         ServerConnectionPools pools,
         RetryBudgets retries,
         RefusalBackoffs refusals,
+        BufferPool buffers,
         PartActivity partActivity,
         CrashListener crashListener,
         Metrics metrics,
