Follow the backend servers beside an odd entry of another writer

With one entry that is nested over 1,000 levels deep, or has a number of over 1,000 digits or a very long name, an instance never reads the list: it refuses all requests after its start, or follows no change. Addresses with a port or an octet out of range fail requests.

Cause: the parser's limits apply to the whole list, so that one value makes all others unreadable, again with each retry; BackendDecoder checks types but no ranges; an exception in the handling of one object would end the watch without a log line (by reading, not shown).

The router reads the platform's list of instances in the same way.

Why it works: the second parse sees neither a depth over 64 nor a number over 64 characters, whatever one value holds.

--- a/entry/src/main/java/io/hornbeamfield/entry/control/StoreWatcher.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/StoreWatcher.java
@@ -76,7 +76,7 @@
             return;
         }
         onSuccess();
-        listener.onList(list);
+        handle(() -> listener.onList(list));
         watch(list.revision());
     }
 
@@ -88,7 +88,7 @@
     private void onWatched(long revision, @Nullable WatchResult reply, @Nullable Throwable failure) {
         if (reply instanceof WatchResult.Changes c) {
             onSuccess();
-            c.changes().forEach(listener::onChange);
+            c.changes().forEach(change -> handle(() -> listener.onChange(change)));
             long debounceMs = c.changes().isEmpty() ? 0 : timing.changeDebounceMs(largeFleet.getAsBoolean());
             control.schedule(() -> watch(c.revision()), debounceMs, TimeUnit.MILLISECONDS);
         } else if (reply instanceof WatchResult.HistoryGone) {
@@ -103,6 +103,18 @@
         }
     }
 
+    /** An object that cannot be handled must not end the watch of the others. */
+    private void handle(Runnable action) {
+        try {
+            action.run();
+        } catch (RuntimeException e) {
+            log.event("store-object-failed")
+                    .field("kind", kind)
+                    .field("reason", String.valueOf(e))
+                    .write();
+        }
+    }
+
     private void retry(@Nullable Throwable failure, Runnable call) {
         consecutiveFailures++;
         if (consecutiveFailures == 1) {
--- a/net/src/main/java/io/hornbeamfield/net/json/Json.java
+++ b/net/src/main/java/io/hornbeamfield/net/json/Json.java
@@ -1,6 +1,9 @@
 package io.hornbeamfield.net.json;
 
+import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.core.json.JsonReadFeature;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -24,6 +27,16 @@
             .enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES)
             .build();
 
+    /** Accepts what another writer may have put into one value of a list. */
+    private static final ObjectMapper TOLERANT_MAPPER = JsonMapper.builder(JsonFactory.builder()
+                    .streamReadConstraints(StreamReadConstraints.builder()
+                            .maxNameLength(Integer.MAX_VALUE)
+                            .maxStringLength(Integer.MAX_VALUE)
+                            .build())
+                    .enable(JsonReadFeature.ALLOW_UNESCAPED_CONTROL_CHARS)
+                    .build())
+            .build();
+
     private Json() {}
 
     /** Returns the shared object mapper. */
@@ -55,6 +68,24 @@
         }
     }
 
+    /**
+     * Parses JSON to which several writers contribute. Values that are nested too deeply, and numbers with too many
+     * digits, become null, so that they do not make the rest unreadable. Malformed input throws
+     * {@link UncheckedIOException}.
+     */
+    public static JsonNode parseTolerantly(byte[] json) {
+        try {
+            return MAPPER.readTree(json);
+        } catch (IOException strict) {
+            try {
+                return TOLERANT_MAPPER.readTree(JsonSanitizer.sanitize(json));
+            } catch (IOException e) {
+                e.addSuppressed(strict);
+                throw new UncheckedIOException(e);
+            }
+        }
+    }
+
     /**
      * Parses JSON into a typed value. Malformed input, or input that does not fit the type, throws
      * {@link UncheckedIOException}.
--- a/net/src/main/java/io/hornbeamfield/net/platform/HttpPlatformClient.java
+++ b/net/src/main/java/io/hornbeamfield/net/platform/HttpPlatformClient.java
@@ -64,7 +64,7 @@
     public CompletableFuture<List<InstanceInfo>> instances() {
         return get("/instances", CALL_TIMEOUT).thenApply(reply -> {
             List<InstanceInfo> list = new ArrayList<>();
-            Json.parse(requireSuccess(reply).body()).path("instances").forEach(i -> list.add(instance(i)));
+            Json.parseTolerantly(requireSuccess(reply).body()).path("instances").forEach(i -> list.add(instance(i)));
             return list;
         });
     }
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyRelayTransport.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyRelayTransport.java
@@ -84,10 +84,17 @@
 
     @Override
     public void connect(String address, ConnectListener listener) {
+        InetSocketAddress peer;
+        try {
+            peer = socketAddress(address);
+        } catch (IllegalArgumentException e) {
+            serial.run(() -> listener.onFailed("\"" + address + "\" is no address: " + e.getMessage()));
+            return;
+        }
         TCPNIOConnectorHandler.builder(transport)
                 .processor(clientChain)
                 .build()
-                .connect(socketAddress(address), new EmptyCompletionHandler<Connection>() {
+                .connect(peer, new EmptyCompletionHandler<Connection>() {
                     @Override
                     public void completed(Connection connection) {
                         GrizzlyOutboundConnection c = new GrizzlyOutboundConnection(connection, serial);
