Trust a refusal on a reused connection only with its attempt id

What callers saw: nothing here; another operator reported "not run" for requests that had run, and second runs, after a server wrote an earlier refusal once more on a kept connection.

Cause: the entry daemon told copies apart by their id, but took an answer without one for the answer to the request in flight. The router sent repeatable calls to plain services on pooled connections, where nothing tells a copy from an answer.

Change: core.attempt.AnswerMatch: without an id, an answer on a reused connection proves nothing, so that a refusal there ends the attempt with an unknown outcome. The router gives each service call a connection of its own.

--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/Attempt.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/Attempt.java
@@ -1,5 +1,6 @@
 package io.hornbeamfield.entry.traffic;
 
+import io.hornbeamfield.core.attempt.AnswerMatch;
 import io.hornbeamfield.core.attempt.AttemptOutcome;
 import io.hornbeamfield.core.attempt.InputAllowance;
 import io.hornbeamfield.net.relay.Header;
@@ -35,6 +36,7 @@
     private final InputAllowance bodyAllowance = new InputAllowance(MAX_BUFFERED_BYTES, BODY_PART_COST_BYTES);
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private @Nullable OutboundConnection connection;
+    private boolean reused;
     private boolean sent;
     private boolean done;
     private boolean promptRead;
@@ -121,12 +123,13 @@
     }
 
     @Override
-    public void onConnection(OutboundConnection c, boolean reused) {
+    public void onConnection(OutboundConnection c, boolean connectionReused) {
         if (done) {
             pool.discard(c);
             return;
         }
         connection = c;
+        reused = connectionReused;
         sent = true;
         pool.recordSent();
         c.send(request.get(), this);
@@ -145,12 +148,15 @@
         pool.recordRate(ServerRate.of(answerHeaders));
         String answeredId = Header.find(answerHeaders, Wire.ATTEMPT_ID).orElse("");
         boolean signed = Header.find(answerHeaders, Wire.SIGNATURE).isPresent();
-        declined = Header.find(answerHeaders, Wire.NOT_RUN).isPresent() || answerStatus == Wire.WRONG_SERVER;
-        if (!answeredId.isEmpty() && !answeredId.equals(attemptId)) {
-            // A late copy of another request's refusal says nothing about this one, which the server may be running.
-            declined = false;
+        boolean refused = Header.find(answerHeaders, Wire.NOT_RUN).isPresent() || answerStatus == Wire.WRONG_SERVER;
+        AnswerMatch match = AnswerMatch.of(attemptId, answeredId, reused);
+        // A late copy of another request's refusal says nothing about this one, which the server may be running.
+        declined = refused && match == AnswerMatch.OWN;
+        if (match == AnswerMatch.OTHER) {
             discardAndEnd(
                     AttemptOutcome.BROKEN, "the response belongs to attempt " + answeredId + ", not " + attemptId);
+        } else if (refused && !declined) {
+            discardAndEnd(AttemptOutcome.BROKEN, "the refusal on a reused connection has no attempt id");
         } else if (!declined && status / 100 == 2 && !signed) {
             discardAndEnd(AttemptOutcome.BROKEN, "the response has no signature");
         }
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/ServiceAttempt.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/ServiceAttempt.java
@@ -43,12 +43,11 @@
                 .header(CallerHeaders.KEY, request.key().text())
                 .header("X-Workspace", request.workspace())
                 .header("Content-Type", work.contentType())
+                // On a pooled connection a late copy of an earlier answer cannot be told from that of this call, nor
+                // "not sent" from "outcome unknown".
+                .header("Connection", "close")
                 .body(work.body())
                 .timeout(timeout);
-        if (!work.repeatable()) {
-            // On a pooled connection that the service has closed, "not sent" cannot be told from "outcome unknown".
-            call.header("Connection", "close");
-        }
         client.send(call.build()).whenCompleteAsync(this::callEnded, executor);
     }
 
