Bound the replies that the HTTP client collects

A reply without end was collected until the timeout of its call, a head before that of the response was taken for the response, and the streams of engines and routers had no bound of input without a token.

A failed call closes its connection at once.

The bounds of the engine's and the router's streams have no test of their own; their timeouts ended such streams before. The parts of a stream that wait for the executor of a request are not bounded (by reading; not shown).

--- a/client/src/main/java/io/hornbeamfield/client/internal/ChatStream.java
+++ b/client/src/main/java/io/hornbeamfield/client/internal/ChatStream.java
@@ -1,6 +1,7 @@
 package io.hornbeamfield.client.internal;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.hornbeamfield.core.attempt.InputAllowance;
 import io.hornbeamfield.net.http.CallFailure;
 import io.hornbeamfield.net.http.EventStreamParser;
 import io.hornbeamfield.net.http.OpenStream;
@@ -21,6 +22,12 @@
  * the completion tokens of the usage. An event with the id of another request ends the attempt as incomplete.
  */
 final class ChatStream implements StreamListener {
+    /** A router that sends more than this without a new part of the answer sends no answer. */
+    private static final int MAX_INPUT_WITHOUT_TEXT = 512 * 1024;
+
+    private static final int PART_COST_BYTES = 64;
+
+    private final InputAllowance allowance = new InputAllowance(MAX_INPUT_WITHOUT_TEXT, PART_COST_BYTES);
     private final String key;
     private final AnswerText text;
     private final Executor executor;
@@ -92,6 +99,10 @@
     public void onData(byte[] chunk) {
         runUnlessEnded(() -> {
             lastProgressNanos = System.nanoTime();
+            if (!allowance.charge(chunk.length)) {
+                finish(new AttemptResult.Incomplete("The router sends without end and without a new part."));
+                return;
+            }
             if (status != 200) {
                 errorBody.writeBytes(chunk);
                 return;
@@ -132,6 +143,9 @@
 
     private void handleContent(JsonNode node) {
         JsonNode content = node.path("choices").path(0).path("delta").path("content");
+        if (content.isTextual() && node.path("offset").asLong() == text.nextOffset()) {
+            allowance.renew();
+        }
         if (content.isTextual() && !text.add(node.path("offset").asLong(), content.asText())) {
             finish(new AttemptResult.Incomplete("Answer parts are missing: expected offset " + text.nextOffset()
                     + ", got " + node.path("offset") + "."));
--- a/net/src/main/java/io/hornbeamfield/net/http/internal/CollectingListener.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/CollectingListener.java
@@ -1,5 +1,6 @@
 package io.hornbeamfield.net.http.internal;
 
+import io.hornbeamfield.core.attempt.InputAllowance;
 import io.hornbeamfield.net.http.CallFailure;
 import io.hornbeamfield.net.http.HttpReply;
 import io.hornbeamfield.net.http.StreamListener;
@@ -9,6 +10,12 @@
 
 /** Buffers a streamed response and completes a future with the whole of it. */
 final class CollectingListener implements StreamListener {
+    private static final int MAX_BYTES = 16 * 1024 * 1024;
+
+    /** Bounds the number of parts to some thousands. */
+    private static final int PART_COST_BYTES = 1_024;
+
+    private final InputAllowance allowance = new InputAllowance(MAX_BYTES, PART_COST_BYTES);
     private final CompletableFuture<HttpReply> future;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private int status;
@@ -26,7 +33,13 @@
 
     @Override
     public void onData(byte[] chunk) {
-        body.writeBytes(chunk);
+        if (allowance.charge(chunk.length)) {
+            body.writeBytes(chunk);
+        } else {
+            future.completeExceptionally(new CallFailure(
+                    CallFailure.Kind.BROKEN,
+                    "The response exceeds " + MAX_BYTES + " bytes, with " + PART_COST_BYTES + " more for each part."));
+        }
     }
 
     @Override
--- a/net/src/main/java/io/hornbeamfield/net/http/internal/Exchange.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/Exchange.java
@@ -22,10 +22,13 @@
     static final Attribute<Exchange> CURRENT =
             Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("hornbeamfield-exchange");
 
+    private static final int MAX_INTERIM_HEADS = 16;
+
     private final HttpCall call;
     private final StreamListener listener;
     private final ConnectionCache connections;
     private @Nullable Connection<?> connection;
+    private int interimHeads;
     private boolean headArrived;
     private boolean done;
 
@@ -75,6 +78,13 @@
         return HttpContent.builder(head.build()).content(body).last(true).build();
     }
 
+    /** Counts a head before that of the response; a server that sends many sends no response. */
+    void interimHead() {
+        if (++interimHeads > MAX_INTERIM_HEADS) {
+            fail(new CallFailure(CallFailure.Kind.BROKEN, "The server sent " + interimHeads + " interim heads."));
+        }
+    }
+
     synchronized void head(int status, Map<String, String> headers) {
         if (!done && !headArrived) {
             headArrived = true;
--- a/net/src/main/java/io/hornbeamfield/net/http/internal/GrizzlyHttpClient.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/GrizzlyHttpClient.java
@@ -64,7 +64,12 @@
         var timeoutTask = timer.schedule(
                 () -> exchange.fail(timeoutFailure(call)), call.timeout().toMillis(), TimeUnit.MILLISECONDS);
         // Returns the original future, since a dependent one would wrap the CallFailure in a CompletionException.
-        future.whenComplete((reply, failure) -> timeoutTask.cancel(false));
+        future.whenComplete((reply, failure) -> {
+            timeoutTask.cancel(false);
+            if (failure != null) {
+                exchange.cancel();
+            }
+        });
         return future;
     }
 
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/EngineStreamListener.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/EngineStreamListener.java
@@ -1,5 +1,6 @@
 package io.hornbeamfield.router.traffic.internal;
 
+import io.hornbeamfield.core.attempt.InputAllowance;
 import io.hornbeamfield.net.http.CallFailure;
 import io.hornbeamfield.net.http.EventStreamParser;
 import io.hornbeamfield.net.http.StreamListener;
@@ -14,6 +15,12 @@
  * attempt has ended or moved to another connection are dropped.
  */
 final class EngineStreamListener implements StreamListener {
+    /** An engine that sends more than this without a new token sends no stream. */
+    private static final int MAX_INPUT_WITHOUT_TOKEN = 512 * 1024;
+
+    private static final int PART_COST_BYTES = 64;
+
+    private final InputAllowance allowance = new InputAllowance(MAX_INPUT_WITHOUT_TOKEN, PART_COST_BYTES);
     private final ModelAttempt attempt;
     private final int connectionNumber;
     private final Executor executor;
@@ -35,13 +42,18 @@
     @Override
     public void onData(byte[] chunk) {
         runIfCurrent(() -> {
-            boolean readable = read(chunk);
+            long offsetBefore = attempt.nextOffset();
+            boolean readable = allowance.charge(chunk.length) && read(chunk);
             while (!received.isEmpty() && attempt.isCurrent(connectionNumber)) {
                 attempt.onEvent(received.remove());
             }
+            if (attempt.nextOffset() > offsetBefore) {
+                allowance.renew();
+            }
             if (!readable && attempt.isCurrent(connectionNumber)) {
-                attempt.onConnectionLost(
-                        new CallFailure(CallFailure.Kind.BROKEN, "The engine sent an event that is not JSON."));
+                attempt.onConnectionLost(new CallFailure(
+                        CallFailure.Kind.BROKEN,
+                        "The engine sent an event that is not JSON, or too much without a token."));
             }
         });
     }
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/ModelAttempt.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/ModelAttempt.java
@@ -118,6 +118,10 @@
         stream = null;
     }
 
+    long nextOffset() {
+        return nextOffset;
+    }
+
     boolean isCurrent(int number) {
         return !ended && number == connectionNumber;
     }
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/RelayedAnswer.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/RelayedAnswer.java
@@ -1,5 +1,6 @@
 package io.hornbeamfield.router.traffic.internal;
 
+import io.hornbeamfield.core.attempt.InputAllowance;
 import io.hornbeamfield.net.http.CallFailure;
 import io.hornbeamfield.net.http.HttpExchange;
 import io.hornbeamfield.net.http.OpenStream;
@@ -23,6 +24,9 @@
 final class RelayedAnswer implements StreamListener {
     private static final int MAX_MISSED_CHECKS = 2;
 
+    private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
+    private static final int PART_COST_BYTES = 1_024;
+
     /** Status sent by a router that is not the incarnation to which the request was relayed. */
     static final int MISDIRECTED = 421;
 
@@ -31,6 +35,7 @@
     private final ScheduledExecutorService timer;
     private final Supplier<CompletableFuture<Boolean>> ownerLiveness;
     private final Runnable ifUnreachable;
+    private final InputAllowance allowance = new InputAllowance(MAX_BODY_BYTES, PART_COST_BYTES);
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private @Nullable OpenStream connection;
     private @Nullable ResponseStream stream;
@@ -108,7 +113,9 @@
     public void onData(byte[] chunk) {
         run(() -> {
             ResponseStream s = stream;
-            if (s == null) {
+            if (s == null && !allowance.charge(chunk.length)) {
+                onConnectionLost();
+            } else if (s == null) {
                 body.writeBytes(chunk);
             } else {
                 s.write(chunk);
