Accept any declared number of output tokens

A caller that declares about 2^63 output tokens had its stream cut at its first event, because the limit of events overflowed (by reading; never released). StreamProgressTest.aCallerMayDeclareAnyNumberOfOutputTokens fails without the bound.

--- a/core/src/main/java/io/hornbeamfield/core/attempt/StreamProgress.java
+++ b/core/src/main/java/io/hornbeamfield/core/attempt/StreamProgress.java
@@ -34,7 +34,7 @@
 
     /** Starts a stream of which each event holds one or more of the given number of output tokens. */
     public static StreamProgress ofTokens(long maxOutputTokens) {
-        return new StreamProgress(maxOutputTokens + MAX_EXTRA_PIECES);
+        return new StreamProgress(Math.min(maxOutputTokens, Long.MAX_VALUE - MAX_EXTRA_PIECES) + MAX_EXTRA_PIECES);
     }
 
     /** Starts a stream whose size is not known. */
--- a/core/src/test/java/io/hornbeamfield/core/attempt/StreamProgressTest.java
+++ b/core/src/test/java/io/hornbeamfield/core/attempt/StreamProgressTest.java
@@ -89,6 +89,13 @@
         assertThat(answeredStream()).isEqualTo(AttemptOutcome.BROKEN);
     }
 
+    @Test
+    void aCallerMayDeclareAnyNumberOfOutputTokens() {
+        StreamProgress huge = StreamProgress.ofTokens(Long.MAX_VALUE);
+        huge.attemptStarted();
+        assertThat(huge.accept(OptionalLong.of(1), true)).isTrue();
+    }
+
     /** Guards against a server that sends small events without end. */
     @Test
     void aStreamHasNoMoreEventsThanOutputTokensAndAFewMore() {
