Wait until the server has noticed the end of its connection in EndlessInputTest

Cause: the test was wrong. A caller's stream ends as soon as the daemon cuts it, but the server's thread learns of the closed connection only with its next write, so that the count was compared too early.

The bounds of lookups and readiness are as they were.

Ruled out: a daemon that was held up.

--- a/entry/src/test/java/io/hornbeamfield/entry/EndlessInputTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/EndlessInputTest.java
@@ -133,7 +133,8 @@
             Thread.sleep(100);
         }
         streams.forEach(s -> assertThat(s.join()).doesNotContain("\r\n0\r\n\r\n"));
-        assertThat(closed.get()).isEqualTo(servers.get(0).requests().size());
+        // A server notices the end of its connection with its next write, in a thread of its own.
+        EntryFixture.await(() -> closed.get() == servers.get(0).requests().size());
     }
 
     private static long millisSince(long startNanos) {
