End a silent attempt only if a further server takes its request

Cause: the timer for the first answer ended the attempt first and asked AttemptPolicy afterwards; without a further server the next step is FAIL.

Both new tests of EntryRelayTest fail without the change.

Why it works: the timer and the detector of silent servers now share one method that asks the policy first, with the state after the attempt; the timer asks again, so that a server that becomes available later is used.

--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
@@ -147,18 +147,32 @@
         next.start(context.pools().maxConnections(spec));
     }
 
-    /** Ends a silent attempt before the deadline, but only if the request may run again. */
+    /** Ends a silent attempt before the deadline once the request can be sent to a further server. */
     private void scheduleSilenceTimeout(Attempt watched) {
-        if (route.retryPolicy().allowsRerun() && !stream.started() && possibleRuns + 1 < route.maxAttempts()) {
-            long limit = FirstAnswerTimeout.ms(route.retryPolicy(), route.objectiveMs());
+        if (route.retryPolicy().allowsRerun() && !stream.started()) {
+            long limit = Math.max(MIN_ATTEMPT_MS, FirstAnswerTimeout.ms(route.retryPolicy(), route.objectiveMs()));
             silenceTimer = context.timers().after(limit, () -> {
                 if (attempt == watched && !stream.started() && watched.status() == 0) {
-                    watched.endAsSilent("no answer within " + limit + " ms");
+                    sendElsewhere(watched, "no answer within " + limit + " ms");
+                    if (attempt == watched) {
+                        scheduleSilenceTimeout(watched);
+                    }
                 }
             });
         }
     }
 
+    /** Ends a silent attempt if a further server follows; otherwise the silent one may still respond. */
+    private void sendElsewhere(Attempt silent, String reason) {
+        AttemptOutcome outcome = silent.sent() ? AttemptOutcome.SILENT : AttemptOutcome.NOT_CONNECTED;
+        int runs = possibleRuns + (silent.sent() ? 1 : 0);
+        NextStep next =
+                AttemptPolicy.next(outcome, state(runs, context.retries().mayRetry(service)));
+        if (next == NextStep.SEND_AGAIN || next == NextStep.RESUME) {
+            silent.endAsSilent(reason);
+        }
+    }
+
     private OutboundRequest outbound(ServerConnectionPool pool) {
         boolean keysRequired =
                 context.blackboard().config().map(RouteConfig::keysRequired).orElse(true);
@@ -214,16 +228,10 @@
         }
     }
 
-    /** Retries at another server if that is allowed; otherwise the silent server may still respond. */
     @Override
     public void onServerSilent(Attempt silent) {
-        if (done || silent != attempt) {
-            return;
-        }
-        AttemptState after = state(possibleRuns + 1, context.retries().mayRetry(service));
-        NextStep next = AttemptPolicy.next(AttemptOutcome.SILENT, after);
-        if (next == NextStep.SEND_AGAIN || next == NextStep.RESUME) {
-            silent.endAsSilent("the server is silent");
+        if (!done && silent == attempt) {
+            sendElsewhere(silent, "the server is silent");
         }
     }
 
--- a/entry/src/test/java/io/hornbeamfield/entry/EntryRelayTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/EntryRelayTest.java
@@ -65,6 +65,31 @@
         assertThat(fleet.call("GET", "/nowhere/x").status()).isEqualTo(404);
     }
 
+    /** Guards against a request that fails although its only server was just about to answer. */
+    @Test
+    void aSlowServerIsAwaitedWhileNoFurtherServerCanTakeTheRequest() {
+        FakeBackendServer runner = fleet.runner("i-1", "plain");
+        runner.respondWith(r -> CompletableFuture.delayedExecutor(900, TimeUnit.MILLISECONDS)
+                .execute(() -> FakeBackendServer.answer(r, 200, "late")));
+        fleet.configure(1);
+        fleet.startReady();
+        assertThat(fleet.call("GET", "/read/x").all())
+                .startsWith("HTTP/1.1 200")
+                .endsWith("late");
+        assertThat(runner.receivedRequests()).hasSize(1);
+    }
+
+    /** Guards against waiting for a slow server although a further one has become available. */
+    @Test
+    void aSlowServerIsLeftOnceAFurtherServerCanTakeTheRequest() {
+        FakeBackendServer slow = fleet.runner("i-1", "plain");
+        slow.respondWith(r -> fleet.runner("i-2", "plain"));
+        fleet.configure(1);
+        fleet.startReady();
+        assertThat(fleet.call("GET", "/read/x").all()).contains("done by i-2");
+        assertThat(slow.receivedRequests()).hasSize(1);
+    }
+
     @Test
     void aNonIdempotentRequestIsNotRetriedAfterABrokenResponse() {
         FakeBackendServer first = fleet.runner("i-1", "plain");
