Reject a peer's frame whose lengths go beyond its end

Another operator reported a machine that ran out of memory on bytes that were no message. A frame of 24 bytes did it here: the parser allocates what a MessagePack length says before it reads the bytes, and a hello is parsed before its sender has proved the shared secret. Both the entry daemon and the router listen for such frames.

Cause: MessagePackParser calls readPayload(length) for binaries and extensions, and allocates for strings. FrameFilter bounds the frame, not the lengths in it.

Fix: the frame is skipped over once, which allocates nothing, and must be exactly one value. The size is compared as well, because the number of elements of a map can overflow while it is skipped.

--- a/net/src/main/java/io/hornbeamfield/net/peer/internal/FrameCodec.java
+++ b/net/src/main/java/io/hornbeamfield/net/peer/internal/FrameCodec.java
@@ -8,6 +8,9 @@
 import io.hornbeamfield.net.peer.PeerTransport;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
 /** Encodes messages as frames and decodes them. A frame is a 4-byte big-endian length and a MessagePack map. */
@@ -40,6 +43,20 @@
     }
 
     static PeerMessage decode(byte[] body) throws IOException {
+        checkLengths(body);
         return MAPPER.readValue(body, PeerMessage.class);
     }
+
+    /** The parser allocates what a length in the frame says before it reads the bytes. */
+    private static void checkLengths(byte[] body) throws IOException {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(body)) {
+            unpacker.skipValue();
+            if (unpacker.getTotalReadBytes() != body.length) {
+                throw new IOException("The frame has " + body.length + " bytes, but its value has "
+                        + unpacker.getTotalReadBytes() + ".");
+            }
+        } catch (MessagePackException e) {
+            throw new IOException("The frame holds no complete MessagePack value.", e);
+        }
+    }
 }
