Leave compressed responses as received

A server that answered with a Content-Encoding of gzip or lzma had its body decompressed by the daemon and by the HTTP client, whoever had asked for it: a read of 32 KB may become 32 MB, and all bounds count what comes out. The caller got the decompressed bytes under a Content-Encoding that was no longer true.

Cause: Grizzly's HttpClientFilter decodes both unless told not to.

Fix: ResponseCodec, the codec of both clients, has no content encodings.

--- a/net/src/main/java/io/hornbeamfield/net/http/internal/GrizzlyHttpClient.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/GrizzlyHttpClient.java
@@ -14,7 +14,6 @@
 import java.util.concurrent.TimeUnit;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.TransportFilter;
-import org.glassfish.grizzly.http.HttpClientFilter;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
 import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
@@ -41,7 +40,7 @@
                 .build();
         transport.setProcessor(FilterChainBuilder.stateless()
                 .add(new TransportFilter())
-                .add(new HttpClientFilter())
+                .add(new ResponseCodec())
                 .add(new ResponseFilter())
                 .build());
         try {
--- /dev/null
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/ResponseCodec.java
@@ -0,0 +1,24 @@
+package io.hornbeamfield.net.http.internal;
+
+import org.glassfish.grizzly.http.ContentEncoding;
+import org.glassfish.grizzly.http.HttpClientFilter;
+import org.glassfish.grizzly.http.HttpCodecFilter;
+
+/**
+ * Codec of responses that leaves their bodies as received. Grizzly would decompress a compressed one, which may become
+ * a thousand times larger.
+ */
+public final class ResponseCodec extends HttpClientFilter {
+    /** Creates a codec with Grizzly's limit of a head. */
+    ResponseCodec() {
+        this(HttpCodecFilter.DEFAULT_MAX_HTTP_PACKET_HEADER_SIZE);
+    }
+
+    /** Creates a codec with a limit of a head in bytes. */
+    public ResponseCodec(int maxHeaderBytes) {
+        super(maxHeaderBytes);
+        for (ContentEncoding encoding : getContentEncodings()) {
+            removeContentEncoding(encoding);
+        }
+    }
+}
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyRelayTransport.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyRelayTransport.java
@@ -1,5 +1,6 @@
 package io.hornbeamfield.net.relay.internal;
 
+import io.hornbeamfield.net.http.internal.ResponseCodec;
 import io.hornbeamfield.net.relay.ConnectListener;
 import io.hornbeamfield.net.relay.InboundHandler;
 import io.hornbeamfield.net.relay.InboundLimits;
@@ -13,7 +14,6 @@
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.filterchain.FilterChain;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
-import org.glassfish.grizzly.http.HttpClientFilter;
 import org.glassfish.grizzly.http.KeepAlive;
 import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
@@ -36,7 +36,7 @@
         this.clientChain = FilterChainBuilder.stateless()
                 .add(new ReadFilter(OutboundFilter::endExcessive))
                 .add(new UnexpectedBytesFilter())
-                .add(new HttpClientFilter(ConnectionInput.MAX_HEADER_BYTES))
+                .add(new ResponseCodec(ConnectionInput.MAX_HEADER_BYTES))
                 .add(new OutboundFilter())
                 .build();
     }
