Bound the replies that an HTTP client collects together

Each reply was bounded to 16 MB, but not all of them together, and the entry daemon has a heap of 64 MB: a store or other instances that answer a few calls without end use it up. A reply was also kept until the timeout of its call after it had ended, since a cancelled timeout stayed in the timer's queue.

Fix: the replies of a client occupy an eighth of the heap together (BufferPool, as for answers); beyond that the largest fail. Cancelled timeouts leave the queue.

Seen failing: EndlessReplyTest.manyRepliesAtOnceOccupyNoMoreThanTheClientMayKeep fails with ReplyBuffers.grown doing nothing (trial).

--- a/net/src/main/java/io/hornbeamfield/net/http/HttpClient.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/HttpClient.java
@@ -13,10 +13,21 @@
  * }</pre>
  */
 public interface HttpClient extends AutoCloseable {
+    /** Leaves room for the copies that are made while replies grow. */
+    long REPLIES_PER_HEAP = 8;
 
-    /** Creates a client whose thread names start with the given name. */
+    /** Creates a client whose thread names start with the given name. Its replies occupy an eighth of the heap. */
     static HttpClient create(String name) {
-        return GrizzlyHttpClient.start(name);
+        return create(name, Runtime.getRuntime().maxMemory() / REPLIES_PER_HEAP);
+    }
+
+    /**
+     * Creates a client whose thread names start with the given name.
+     *
+     * @param maxReplyBytes bytes of all replies that are buffered at the same time; beyond that the largest fail
+     */
+    static HttpClient create(String name, long maxReplyBytes) {
+        return GrizzlyHttpClient.start(name, maxReplyBytes);
     }
 
     /** Sends a request and buffers the whole response. The future fails with a {@link CallFailure}. */
--- a/net/src/main/java/io/hornbeamfield/net/http/internal/CollectingListener.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/CollectingListener.java
@@ -1,5 +1,6 @@
 package io.hornbeamfield.net.http.internal;
 
+import io.hornbeamfield.core.attempt.BufferPool;
 import io.hornbeamfield.core.attempt.InputAllowance;
 import io.hornbeamfield.net.http.CallFailure;
 import io.hornbeamfield.net.http.HttpReply;
@@ -9,7 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 
 /** Buffers a streamed response and completes a future with the whole of it. */
-final class CollectingListener implements StreamListener {
+final class CollectingListener implements StreamListener, BufferPool.Holder {
     private static final int MAX_BYTES = 16 * 1024 * 1024;
 
     /** Bounds the number of parts to some thousands. */
@@ -17,12 +18,16 @@
 
     private final InputAllowance allowance = new InputAllowance(MAX_BYTES, PART_COST_BYTES);
     private final CompletableFuture<HttpReply> future;
+    private final ReplyBuffers buffers;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private volatile int collectedBytes;
+    private volatile boolean released;
     private int status;
     private Map<String, String> headers = Map.of();
 
-    CollectingListener(CompletableFuture<HttpReply> future) {
+    CollectingListener(CompletableFuture<HttpReply> future, ReplyBuffers buffers) {
         this.future = future;
+        this.buffers = buffers;
     }
 
     @Override
@@ -33,8 +38,13 @@
 
     @Override
     public void onData(byte[] chunk) {
+        if (released) {
+            return;
+        }
         if (allowance.charge(chunk.length)) {
             body.writeBytes(chunk);
+            collectedBytes = body.size();
+            buffers.grown(chunk.length);
         } else {
             future.completeExceptionally(new CallFailure(
                     CallFailure.Kind.BROKEN,
@@ -42,6 +52,21 @@
         }
     }
 
+    @Override
+    public long bufferedBytes() {
+        return collectedBytes;
+    }
+
+    @Override
+    public void release() {
+        released = true;
+        buffers.fail(
+                future,
+                new CallFailure(
+                        CallFailure.Kind.BROKEN,
+                        "The responses of all calls occupy too much memory, and this one the most."));
+    }
+
     @Override
     public void onEnd() {
         future.complete(new HttpReply(status, headers, body.toByteArray()));
--- a/net/src/main/java/io/hornbeamfield/net/http/internal/GrizzlyHttpClient.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/GrizzlyHttpClient.java
@@ -9,8 +9,8 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.TransportFilter;
@@ -23,15 +23,17 @@
     private final TCPNIOTransport transport;
     private final ScheduledExecutorService timer;
     private final ConnectionCache connections;
+    private final ReplyBuffers buffers;
 
-    private GrizzlyHttpClient(TCPNIOTransport transport, ScheduledExecutorService timer) {
+    private GrizzlyHttpClient(TCPNIOTransport transport, ScheduledExecutorService timer, long maxReplyBytes) {
         this.transport = transport;
         this.timer = timer;
+        this.buffers = new ReplyBuffers(maxReplyBytes, timer);
         this.connections = new ConnectionCache(transport);
     }
 
-    /** Starts a client. */
-    public static HttpClient start(String name) {
+    /** Starts a client that keeps at most the given number of bytes of all replies that it collects. */
+    public static HttpClient start(String name, long maxReplyBytes) {
         TCPNIOTransport transport = TCPNIOTransportBuilder.newInstance()
                 .setName(name + "-http-client")
                 .setIOStrategy(SameThreadIOStrategy.getInstance())
@@ -48,22 +50,27 @@
         } catch (IOException e) {
             throw new UncheckedIOException("Cannot start the HTTP client.", e);
         }
-        ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(r -> {
+        ScheduledThreadPoolExecutor timer = new ScheduledThreadPoolExecutor(1, r -> {
             Thread t = new Thread(r, name + "-http-timeout");
             t.setDaemon(true);
             return t;
         });
-        return new GrizzlyHttpClient(transport, timer);
+        // Otherwise the timeout of a call would keep its reply until it elapses.
+        timer.setRemoveOnCancelPolicy(true);
+        return new GrizzlyHttpClient(transport, timer, maxReplyBytes);
     }
 
     @Override
     public CompletableFuture<HttpReply> send(HttpCall call) {
         CompletableFuture<HttpReply> future = new CompletableFuture<>();
-        Exchange exchange = startExchange(call, new CollectingListener(future));
+        CollectingListener reply = new CollectingListener(future, buffers);
+        buffers.add(reply);
+        Exchange exchange = startExchange(call, reply);
         var timeoutTask = timer.schedule(
                 () -> exchange.fail(timeoutFailure(call)), call.timeout().toMillis(), TimeUnit.MILLISECONDS);
         // Returns the original future, since a dependent one would wrap the CallFailure in a CompletionException.
-        future.whenComplete((reply, failure) -> {
+        future.whenComplete((result, failure) -> {
+            buffers.remove(reply);
             timeoutTask.cancel(false);
             if (failure != null) {
                 exchange.cancel();
--- a/net/src/test/java/io/hornbeamfield/net/http/EndlessReplyTest.java
+++ b/net/src/test/java/io/hornbeamfield/net/http/EndlessReplyTest.java
@@ -9,8 +9,13 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -22,30 +27,48 @@
     private ServerSocket server;
     private volatile String head = "";
     private volatile String part = "";
+    private volatile int parts = Integer.MAX_VALUE;
 
     @BeforeEach
     void start() throws IOException {
         server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
-        Thread t = new Thread(this::serve);
+        run(this::accept);
+    }
+
+    private static void run(Runnable action) {
+        Thread t = new Thread(action);
         t.setDaemon(true);
         t.start();
     }
 
+    private void accept() {
+        while (!server.isClosed()) {
+            try {
+                Socket connection = server.accept();
+                run(() -> serve(connection));
+            } catch (IOException e) {
+                // The test has ended.
+                return;
+            }
+        }
+    }
+
     @AfterEach
     void stop() throws IOException {
         client.close();
         server.close();
     }
 
-    private void serve() {
-        try (Socket connection = server.accept()) {
+    private void serve(Socket accepted) {
+        try (Socket connection = accepted) {
             connection.getInputStream().read();
             OutputStream out = connection.getOutputStream();
             out.write(head.getBytes(StandardCharsets.US_ASCII));
             byte[] bytes = part.repeat(PART_BYTES / part.length()).getBytes(StandardCharsets.US_ASCII);
-            while (true) {
+            for (int i = 0; i < parts; i++) {
                 out.write(bytes);
             }
+            connection.getInputStream().transferTo(OutputStream.nullOutputStream());
         } catch (IOException e) {
             // The client has closed the connection.
             Thread.currentThread().interrupt();
@@ -72,4 +95,31 @@
                         CallFailure.class, f -> assertThat(f.kind()).isEqualTo(CallFailure.Kind.BROKEN));
         assertThat(Duration.ofNanos(System.nanoTime() - start)).isLessThan(Duration.ofSeconds(10));
     }
+
+    /** Guards against many replies that are within the limit of each and together use up the memory. */
+    @Test
+    void manyRepliesAtOnceOccupyNoMoreThanTheClientMayKeep() {
+        head = "HTTP/1.1 200 OK\r\n\r\n";
+        part = "x";
+        parts = 8;
+        long maxBytes = 2L * parts * PART_BYTES;
+        try (HttpClient bounded = HttpClient.create("bounded", maxBytes)) {
+            List<CompletableFuture<HttpReply>> replies = new ArrayList<>();
+            for (int i = 0; i < 8; i++) {
+                replies.add(bounded.send(HttpCall.get("http://127.0.0.1:" + server.getLocalPort() + "/")
+                        .timeout(Duration.ofSeconds(60))
+                        .build()));
+            }
+            // Two replies fit in; each of the others ends one.
+            CompletableFuture<?> sixFailed = new CompletableFuture<>();
+            AtomicInteger broken = new AtomicInteger();
+            replies.forEach(r -> r.whenComplete((reply, failure) -> {
+                boolean isBroken = failure instanceof CallFailure f && f.kind() == CallFailure.Kind.BROKEN;
+                if (isBroken && broken.incrementAndGet() == 6) {
+                    sixFailed.complete(null);
+                }
+            }));
+            assertThat(sixFailed).succeedsWithin(Duration.ofSeconds(10));
+        }
+    }
 }
