Bound the part of a stream that waits to be handled

Router and client library hand the parts of a stream from the connection's thread to an executor. The queue between them had no bound: a server that sent faster than its events were parsed filled the memory, and the allowance that ends such streams is charged only when a part is handled.

Fix: HttpClient.open takes the executor and ends a response of which more than 2 MB wait. An engine's stream is then resumed at its offset as after any other broken connection.

--- a/client/src/main/java/io/hornbeamfield/client/internal/ChatSender.java
+++ b/client/src/main/java/io/hornbeamfield/client/internal/ChatSender.java
@@ -67,7 +67,7 @@
             text.runId().ifPresent(id -> call.header("Hornbeamfield-Run", id));
         }
         ChatStream stream = new ChatStream(key, text, executor, onEnd);
-        stream.setConnection(client.open(call.build(), stream));
+        stream.setConnection(client.open(call.build(), executor, stream));
         stream.failOnStall(timer, settings.silence(), remaining);
         stream.failIfUnresponsive(new LivenessMonitor(health, router, executor, timer));
     }
--- a/client/src/main/java/io/hornbeamfield/client/internal/ChatStream.java
+++ b/client/src/main/java/io/hornbeamfield/client/internal/ChatStream.java
@@ -85,7 +85,7 @@
 
     @Override
     public void onHead(int code, Map<String, String> fields) {
-        runUnlessEnded(() -> {
+        unlessEnded(() -> {
             status = code;
             headers = fields;
             String run = fields.get("hornbeamfield-run");
@@ -97,7 +97,7 @@
 
     @Override
     public void onData(byte[] chunk) {
-        runUnlessEnded(() -> {
+        unlessEnded(() -> {
             lastProgressNanos = System.nanoTime();
             if (!allowance.charge(chunk.length)) {
                 finish(new AttemptResult.Incomplete("The router sends without end and without a new part."));
@@ -158,7 +158,7 @@
 
     @Override
     public void onEnd() {
-        runUnlessEnded(() -> finish(
+        unlessEnded(() -> finish(
                 status == 200
                         ? new AttemptResult.Incomplete(
                                 "The stream ended without an end marker after " + text.nextOffset() + " tokens.")
@@ -171,7 +171,7 @@
     @Override
     public void onFailure(CallFailure failure) {
         String reason = String.valueOf(failure.getMessage());
-        runUnlessEnded(() -> finish(
+        unlessEnded(() -> finish(
                 failure.nothingSent() ? new AttemptResult.NotSent(reason) : new AttemptResult.Incomplete(reason)));
     }
 
@@ -188,10 +188,12 @@
     }
 
     private void runUnlessEnded(Runnable action) {
-        executor.execute(() -> {
-            if (!ended) {
-                action.run();
-            }
-        });
+        executor.execute(() -> unlessEnded(action));
+    }
+
+    private void unlessEnded(Runnable action) {
+        if (!ended) {
+            action.run();
+        }
     }
 }
--- a/net/src/main/java/io/hornbeamfield/net/http/HttpClient.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/HttpClient.java
@@ -2,6 +2,7 @@
 
 import io.hornbeamfield.net.http.internal.GrizzlyHttpClient;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
 
 /**
  * Asynchronous HTTP/1.1 client with a pool of keep-alive connections.
@@ -36,6 +37,12 @@
     /** Sends a request and passes the response to the listener as it arrives. */
     OpenStream open(HttpCall call, StreamListener listener);
 
+    /**
+     * Sends a request and passes the response to the listener on an executor that runs one action after the other. The
+     * response fails if the executor falls too far behind it.
+     */
+    OpenStream open(HttpCall call, Executor executor, StreamListener listener);
+
     @Override
     void close();
 }
--- a/net/src/main/java/io/hornbeamfield/net/http/internal/GrizzlyHttpClient.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/GrizzlyHttpClient.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
@@ -81,7 +82,19 @@
 
     @Override
     public OpenStream open(HttpCall call, StreamListener listener) {
-        Exchange exchange = startExchange(call, listener);
+        return open(call, startExchange(call, listener));
+    }
+
+    @Override
+    public OpenStream open(HttpCall call, Executor executor, StreamListener listener) {
+        QueuedListener queued = new QueuedListener(executor, listener);
+        Exchange exchange = new Exchange(call, queued, connections);
+        queued.onOverrun(exchange::fail);
+        connections.acquire(exchange);
+        return open(call, exchange);
+    }
+
+    private OpenStream open(HttpCall call, Exchange exchange) {
         timer.schedule(
                 () -> exchange.failUnlessHeadArrived(timeoutFailure(call)),
                 call.timeout().toMillis(),
--- a/net/src/test/java/io/hornbeamfield/net/http/EndlessReplyTest.java
+++ b/net/src/test/java/io/hornbeamfield/net/http/EndlessReplyTest.java
@@ -11,8 +11,13 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -28,6 +33,7 @@
     private volatile String head = "";
     private volatile String part = "";
     private volatile int parts = Integer.MAX_VALUE;
+    private final CompletableFuture<@Nullable Void> serverSawTheEnd = new CompletableFuture<>();
 
     @BeforeEach
     void start() throws IOException {
@@ -71,7 +77,7 @@
             connection.getInputStream().transferTo(OutputStream.nullOutputStream());
         } catch (IOException e) {
             // The client has closed the connection.
-            Thread.currentThread().interrupt();
+            serverSawTheEnd.complete(null);
         }
     }
 
@@ -122,4 +128,38 @@
             assertThat(sixFailed).succeedsWithin(Duration.ofSeconds(10));
         }
     }
+
+    /** Guards against a response that arrives faster than it is handled and waits in memory. */
+    @Test
+    void aResponseThatItsListenerCannotFollowFails() {
+        head = "HTTP/1.1 200 OK\r\n\r\n";
+        part = "x";
+        BlockingQueue<Runnable> waiting = new LinkedBlockingQueue<>();
+        CompletableFuture<CallFailure> failed = new CompletableFuture<>();
+        AtomicLong received = new AtomicLong();
+        client.open(
+                HttpCall.get("http://127.0.0.1:" + server.getLocalPort() + "/").build(),
+                waiting::add,
+                new StreamListener() {
+                    @Override
+                    public void onHead(int status, Map<String, String> headers) {}
+
+                    @Override
+                    public void onData(byte[] chunk) {
+                        received.addAndGet(chunk.length);
+                    }
+
+                    @Override
+                    public void onEnd() {}
+
+                    @Override
+                    public void onFailure(CallFailure failure) {
+                        failed.complete(failure);
+                    }
+                });
+        assertThat(serverSawTheEnd).succeedsWithin(Duration.ofSeconds(10));
+        waiting.forEach(Runnable::run);
+        assertThat(failed).isCompletedWithValueMatching(f -> f.kind() == CallFailure.Kind.BROKEN);
+        assertThat(received).hasValueLessThan(4 * 1024 * 1024);
+    }
 }
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/EngineClient.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/EngineClient.java
@@ -11,6 +11,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
 
 /** Makes the HTTP calls to an engine for one engine request. */
 final class EngineClient {
@@ -26,7 +27,13 @@
         this.engineRequestId = engineRequestId;
     }
 
-    OpenStream start(String workspace, Priority priority, byte[] body, Duration headTimeout, StreamListener listener) {
+    OpenStream start(
+            String workspace,
+            Priority priority,
+            byte[] body,
+            Duration headTimeout,
+            Executor executor,
+            StreamListener listener) {
         HttpCall call = HttpCall.post("http://" + address + "/v1/chat/completions")
                 .header("X-Request-Id", engineRequestId)
                 .header("X-Workspace", workspace)
@@ -34,16 +41,16 @@
                 .json(body)
                 .timeout(headTimeout)
                 .build();
-        return client.open(call, listener);
+        return client.open(call, executor, listener);
     }
 
     /** Resumes the stream at an offset, on a fresh connection, because an idle pooled connection may be silent too. */
-    OpenStream resume(long offset, Duration headTimeout, StreamListener listener) {
+    OpenStream resume(long offset, Duration headTimeout, Executor executor, StreamListener listener) {
         HttpCall call = HttpCall.get(streamUri() + "?from=" + offset)
                 .header("Connection", "close")
                 .timeout(headTimeout)
                 .build();
-        return client.open(call, listener);
+        return client.open(call, executor, listener);
     }
 
     /** Cancels the request and returns its usage, if the engine reports it. */
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/EngineStreamListener.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/EngineStreamListener.java
@@ -8,11 +8,10 @@
 import java.util.ArrayDeque;
 import java.util.Map;
 import java.util.Queue;
-import java.util.concurrent.Executor;
 
 /**
- * Forwards the events of one connection to its attempt, on the executor of the request. Events that arrive after the
- * attempt has ended or moved to another connection are dropped.
+ * Forwards the events of one connection to its attempt; it is called on the executor of the request. Events that arrive
+ * after the attempt has ended or moved to another connection are dropped.
  */
 final class EngineStreamListener implements StreamListener {
     /** An engine that sends more than this without a new token sends no stream. */
@@ -23,14 +22,12 @@
     private final InputAllowance allowance = new InputAllowance(MAX_INPUT_WITHOUT_TOKEN, PART_COST_BYTES);
     private final ModelAttempt attempt;
     private final int connectionNumber;
-    private final Executor executor;
     private final EventStreamParser parser;
     private final Queue<EngineEvent> received = new ArrayDeque<>();
 
-    EngineStreamListener(ModelAttempt attempt, int connectionNumber, Executor executor) {
+    EngineStreamListener(ModelAttempt attempt, int connectionNumber) {
         this.attempt = attempt;
         this.connectionNumber = connectionNumber;
-        this.executor = executor;
         this.parser = new EventStreamParser((name, data) -> received.add(EngineEvent.parse(data)));
     }
 
@@ -79,10 +76,8 @@
     }
 
     private void runIfCurrent(Runnable action) {
-        executor.execute(() -> {
-            if (attempt.isCurrent(connectionNumber)) {
-                action.run();
-            }
-        });
+        if (attempt.isCurrent(connectionNumber)) {
+            action.run();
+        }
     }
 }
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/ModelAttempt.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/ModelAttempt.java
@@ -67,7 +67,12 @@
         lastProgressNanos = System.nanoTime();
         // The silence check replaces a response timeout: a request that is still queued is resumed, not failed.
         stream = engine.start(
-                request.workspace(), request.priority(), work.engineBody(), headTimeout(), newStreamListener());
+                request.workspace(),
+                request.priority(),
+                work.engineBody(),
+                headTimeout(),
+                executor,
+                newStreamListener());
         checkSilenceIn(silenceTimeout.toNanos());
     }
 
@@ -77,7 +82,7 @@
 
     private EngineStreamListener newStreamListener() {
         int number = ++connectionNumber;
-        return new EngineStreamListener(this, number, executor);
+        return new EngineStreamListener(this, number);
     }
 
     private void checkSilenceIn(long nanos) {
@@ -106,7 +111,7 @@
         }
         closeConnection();
         lastProgressNanos = System.nanoTime();
-        stream = engine.resume(nextOffset, headTimeout(), newStreamListener());
+        stream = engine.resume(nextOffset, headTimeout(), executor, newStreamListener());
     }
 
     private void closeConnection() {
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/Relay.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/Relay.java
@@ -101,7 +101,7 @@
                 context.timer(),
                 () -> identity.probe(address, request.key().owner()),
                 ifUnreachable);
-        answer.opened(context.client().open(call.build(), answer));
+        answer.opened(context.client().open(call.build(), executor, answer));
         exchange.onDisconnect(answer::callerDisconnected);
     }
 }
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/RelayedAnswer.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/RelayedAnswer.java
@@ -88,7 +88,7 @@
 
     @Override
     public void onHead(int code, Map<String, String> fields) {
-        run(() -> {
+        runUnlessEnded(() -> {
             status = code;
             headers = fields;
             if (fields.getOrDefault("content-type", "").startsWith("text/event-stream")) {
@@ -111,7 +111,7 @@
 
     @Override
     public void onData(byte[] chunk) {
-        run(() -> {
+        runUnlessEnded(() -> {
             ResponseStream s = stream;
             if (s == null && !allowance.charge(chunk.length)) {
                 onConnectionLost();
@@ -125,7 +125,7 @@
 
     @Override
     public void onEnd() {
-        run(() -> {
+        runUnlessEnded(() -> {
             ResponseStream s = stream;
             if (s != null) {
                 end(s::end);
@@ -139,7 +139,7 @@
 
     @Override
     public void onFailure(CallFailure failure) {
-        run(this::onConnectionLost);
+        runUnlessEnded(this::onConnectionLost);
     }
 
     /**
@@ -161,10 +161,12 @@
     }
 
     private void run(Runnable action) {
-        executor.execute(() -> {
-            if (!ended) {
-                action.run();
-            }
-        });
+        executor.execute(() -> runUnlessEnded(action));
+    }
+
+    private void runUnlessEnded(Runnable action) {
+        if (!ended) {
+            action.run();
+        }
     }
 }
--- a/router/src/test/java/io/hornbeamfield/router/control/internal/FakeHttp.java
+++ b/router/src/test/java/io/hornbeamfield/router/control/internal/FakeHttp.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
 
 /** Backend servers that answer by path; servers without an answer refuse the connection. */
 final class FakeHttp implements HttpClient {
@@ -41,6 +42,11 @@
         throw new UnsupportedOperationException("Controllers open no streams.");
     }
 
+    @Override
+    public OpenStream open(HttpCall call, Executor executor, StreamListener listener) {
+        return open(call, listener);
+    }
+
     @Override
     public void close() {}
 }
