End an engine's answer that has more tokens than were asked for

An engine that sent tokens without end was never stopped: each token renewed the allowance of its stream, and the router keeps all tokens of an answer for callers that join later.

Fix: ModelAttempt ends an answer at the tokens of its request and 16 more, and at 16 MB.

--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/ModelAttempt.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/ModelAttempt.java
@@ -1,5 +1,6 @@
 package io.hornbeamfield.router.traffic.internal;
 
+import io.hornbeamfield.core.attempt.InputAllowance;
 import io.hornbeamfield.core.result.Refusal;
 import io.hornbeamfield.core.result.ResultCode;
 import io.hornbeamfield.net.http.CallFailure;
@@ -27,6 +28,14 @@
 
     private static final long RECONNECT_DELAY_MS = 250;
 
+    /** Tokens above the limit of the request, which an engine may count differently. */
+    private static final int MAX_EXTRA_TOKENS = 16;
+
+    private static final int MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+
+    /** Memory of a token beside its text. */
+    private static final int TOKEN_COST_BYTES = 64;
+
     private final EngineClient engine;
     private final CallerRequest request;
     private final Work.Model work;
@@ -34,6 +43,7 @@
     private final Executor executor;
     private final ScheduledExecutorService timer;
     private final Listener listener;
+    private final InputAllowance answerAllowance = new InputAllowance(MAX_ANSWER_BYTES, TOKEN_COST_BYTES);
     private @Nullable OpenStream stream;
     private int connectionNumber;
     private long nextOffset;
@@ -172,6 +182,9 @@
                 return;
             }
             if (event.offset() == nextOffset) {
+                if (exceedsLimits(event.content().get())) {
+                    return;
+                }
                 recordProgress();
                 listener.content(new Chunk(nextOffset, event.content().get()));
                 nextOffset++;
@@ -181,6 +194,16 @@
         event.usage().ifPresent(u -> usage = Optional.of(u));
     }
 
+    /** Fails if a token is beyond what the answer can have; the engine would send such tokens again when resumed. */
+    private boolean exceedsLimits(String content) {
+        if (nextOffset >= work.maxTokens() + MAX_EXTRA_TOKENS) {
+            fail("The engine sent more than the " + work.maxTokens() + " tokens of the request.", false);
+        } else if (!answerAllowance.charge(2 * content.length())) {
+            fail("The engine sent an answer of more than " + MAX_ANSWER_BYTES + " bytes.", false);
+        }
+        return ended;
+    }
+
     private void recordProgress() {
         lastProgressNanos = System.nanoTime();
         resumesWithoutProgress = 0;
