--- a/net/src/main/java/io/hornbeamfield/net/http/HttpClient.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/HttpClient.java
@@ -2,6 +2,7 @@
 
 import io.hornbeamfield.net.http.internal.GrizzlyHttpClient;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
 
 /**
  * Asynchronous HTTP/1.1 client with a pool of keep-alive connections.
@@ -13,10 +14,21 @@
  * }</pre>
  */
 public interface HttpClient extends AutoCloseable {
+    /** Leaves room for the copies that are made while replies grow. */
+    long REPLIES_PER_HEAP = 8;
 
-    /** Creates a client whose thread names start with the given name. */
+    /** Creates a client whose thread names start with the given name. Its replies occupy an eighth of the heap. */
     static HttpClient create(String name) {
-        return GrizzlyHttpClient.start(name);
+        return create(name, Runtime.getRuntime().maxMemory() / REPLIES_PER_HEAP);
+    }
+
+    /**
+     * Creates a client whose thread names start with the given name.
+     *
+     * @param maxReplyBytes bytes of all replies that are buffered at the same time; beyond that the largest fail
+     */
+    static HttpClient create(String name, long maxReplyBytes) {
+        return GrizzlyHttpClient.start(name, maxReplyBytes);
     }
 
     /** Sends a request and buffers the whole response. The future fails with a {@link CallFailure}. */
@@ -25,6 +37,12 @@
     /** Sends a request and passes the response to the listener as it arrives. */
     OpenStream open(HttpCall call, StreamListener listener);
 
+    /**
+     * Sends a request and passes the response to the listener on an executor that runs one action after the other. The
+     * response fails if the executor falls too far behind it.
+     */
+    OpenStream open(HttpCall call, Executor executor, StreamListener listener);
+
     @Override
     void close();
 }
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/ModelAttempt.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/ModelAttempt.java
@@ -1,5 +1,6 @@
 package io.hornbeamfield.router.traffic.internal;
 
+import io.hornbeamfield.core.attempt.InputAllowance;
 import io.hornbeamfield.core.result.Refusal;
 import io.hornbeamfield.core.result.ResultCode;
 import io.hornbeamfield.net.http.CallFailure;
@@ -27,6 +28,14 @@
 
     private static final long RECONNECT_DELAY_MS = 250;
 
+    /** Tokens above the limit of the request, which an engine may count differently. */
+    private static final int MAX_EXTRA_TOKENS = 16;
+
+    private static final int MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+
+    /** Memory of a token beside its text. */
+    private static final int TOKEN_COST_BYTES = 64;
+
     private final EngineClient engine;
     private final CallerRequest request;
     private final Work.Model work;
@@ -34,6 +43,7 @@
     private final Executor executor;
     private final ScheduledExecutorService timer;
     private final Listener listener;
+    private final InputAllowance answerAllowance = new InputAllowance(MAX_ANSWER_BYTES, TOKEN_COST_BYTES);
     private @Nullable OpenStream stream;
     private int connectionNumber;
     private long nextOffset;
@@ -67,7 +77,12 @@
         lastProgressNanos = System.nanoTime();
         // The silence check replaces a response timeout: a request that is still queued is resumed, not failed.
         stream = engine.start(
-                request.workspace(), request.priority(), work.engineBody(), headTimeout(), newStreamListener());
+                request.workspace(),
+                request.priority(),
+                work.engineBody(),
+                headTimeout(),
+                executor,
+                newStreamListener());
         checkSilenceIn(silenceTimeout.toNanos());
     }
 
@@ -77,7 +92,7 @@
 
     private EngineStreamListener newStreamListener() {
         int number = ++connectionNumber;
-        return new EngineStreamListener(this, number, executor);
+        return new EngineStreamListener(this, number);
     }
 
     private void checkSilenceIn(long nanos) {
@@ -106,7 +121,7 @@
         }
         closeConnection();
         lastProgressNanos = System.nanoTime();
-        stream = engine.resume(nextOffset, headTimeout(), newStreamListener());
+        stream = engine.resume(nextOffset, headTimeout(), executor, newStreamListener());
     }
 
     private void closeConnection() {
@@ -167,6 +182,9 @@
                 return;
             }
             if (event.offset() == nextOffset) {
+                if (exceedsLimits(event.content().get())) {
+                    return;
+                }
                 recordProgress();
                 listener.content(new Chunk(nextOffset, event.content().get()));
                 nextOffset++;
@@ -176,6 +194,16 @@
         event.usage().ifPresent(u -> usage = Optional.of(u));
     }
 
+    /** Fails if a token is beyond what the answer can have; the engine would send such tokens again when resumed. */
+    private boolean exceedsLimits(String content) {
+        if (nextOffset >= work.maxTokens() + MAX_EXTRA_TOKENS) {
+            fail("The engine sent more than the " + work.maxTokens() + " tokens of the request.", false);
+        } else if (!answerAllowance.charge(2 * content.length())) {
+            fail("The engine sent an answer of more than " + MAX_ANSWER_BYTES + " bytes.", false);
+        }
+        return ended;
+    }
+
     private void recordProgress() {
         lastProgressNanos = System.nanoTime();
         resumesWithoutProgress = 0;
