Reset an HTTP/1.0 caller whose answer is cut

What callers saw: a caller that speaks HTTP/1.0 got a stream that the entry daemon had cut with an orderly end of its connection, so that it looked complete; it also got the stream in chunks, which HTTP/1.0 does not have, and with "Connection: keep-alive" no end of the connection at all.

Cause: GrizzlyInboundRequest.start sent every answer of unknown length in chunks. Without chunks only a reset tells that an answer is cut, and cut() closed the connection in order; a killed process cannot cut at all.

Change: to an HTTP/1.0 caller an answer of unknown length goes without chunks and ends with its connection. Its socket has SO_LINGER 0 while it is in progress, and end() sets it back once all bytes are written.

Evidence: before, CutAnswerTest fails in 10 of 11 tests (cut, whole answer, large answer, end of the transport, SIGTERM, SIGKILL) and CutStreamTest in 7 of 14, all of HTTP/1.0: deadline, too many events, slow caller, event without end, server that closes, server that resets, end of the grace. All pass now. The seven of HTTP/1.1 passed before.

Why it works: with SO_LINGER 0 every close but that of end() is a reset, also the one by the kernel when the process ends.

Caller.all keeps what arrived before a reset; it lost it before. RawServer can reset a connection, EntryFixture takes the objective and the retry slack.

--- a/entry/src/test/java/io/hornbeamfield/entry/Caller.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/Caller.java
@@ -19,12 +19,18 @@
 
     /** Sends a request; each header is given as a complete header line. */
     static Caller send(String address, String method, String path, String... headers) {
+        return sendAs("HTTP/1.1", address, method, path, headers);
+    }
+
+    /** Sends a request of the given HTTP version; each header is given as a complete header line. */
+    static Caller sendAs(String version, String address, String method, String path, String... headers) {
         try {
             int colon = address.lastIndexOf(':');
             Socket socket = new Socket(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
             socket.setSoTimeout(TIMEOUT_MS);
             String body = method.equals("GET") ? "" : "body";
-            StringBuilder request = new StringBuilder(method + " " + path + " HTTP/1.1\r\nHost: api.example\r\n");
+            StringBuilder request =
+                    new StringBuilder(method + " " + path + " " + version + "\r\nHost: api.example\r\n");
             for (String h : headers) {
                 request.append(h).append("\r\n");
             }
@@ -56,10 +62,15 @@
         }
     }
 
-    /** Reads until the connection ends, and returns all received text. */
+    /** Reads until the connection ends, and returns all received text, followed by the failure if it was reset. */
     String all() {
         try {
-            text.append(new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1));
+            byte[] part = new byte[8_192];
+            for (int n = socket.getInputStream().read(part);
+                    n >= 0;
+                    n = socket.getInputStream().read(part)) {
+                text.append(new String(part, 0, n, StandardCharsets.ISO_8859_1));
+            }
         } catch (IOException e) {
             text.append("[")
                     .append(String.valueOf(e.getMessage()).toLowerCase(Locale.ROOT))
--- a/entry/src/test/java/io/hornbeamfield/entry/EntryFixture.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/EntryFixture.java
@@ -25,6 +25,8 @@
     final List<EntryProcess> entries = new ArrayList<>();
     private final List<EntrySettings> settings = new ArrayList<>();
     private long prepaid = 1_000_000;
+    private long objectiveMs = 400;
+    private double retrySlack = 50;
 
     FakeBackendServer runner(String id, String service) {
         FakeBackendServer r = new FakeBackendServer(id, service);
@@ -37,6 +39,16 @@
         prepaid = tokens;
     }
 
+    /** Sets the objective of all routes, from which the daemon derives how long it waits for a server. */
+    void objectiveMs(long ms) {
+        objectiveMs = ms;
+    }
+
+    /** Sets the number of retries that the daemons may make in addition to a share of the requests. */
+    void retrySlack(double retries) {
+        retrySlack = retries;
+    }
+
     /** Writes a configuration with one route of each kind, except for the removed routes. */
     void configure(long version, String... removedRoutes) {
         ObjectNode config = Json.mapper().createObjectNode().put("version", version);
@@ -74,15 +86,14 @@
         store.put("config", "main", config);
     }
 
-    private static void route(
-            ArrayNode routes, String name, String kind, String service, int attempts, boolean resumable) {
+    private void route(ArrayNode routes, String name, String kind, String service, int attempts, boolean resumable) {
         routes.addObject()
                 .put("name", name)
                 .put("host", "api.example")
                 .put("path-prefix", "/" + name + "/")
                 .put("route-kind", kind)
                 .put("timeout-ms", 8_000)
-                .put("latency-target-ms", 400)
+                .put("latency-target-ms", objectiveMs)
                 .put("service", service)
                 .put("max-attempts", attempts)
                 .put("resumable", resumable);
@@ -104,7 +115,7 @@
                 2_000,
                 5_000,
                 0.2,
-                50,
+                retrySlack,
                 10_000,
                 5);
         EntryProcess entry = EntryProcess.start(Path.of("no-settings-file"), s, EventLog.none());
--- a/entry/src/test/java/io/hornbeamfield/entry/RawServer.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/RawServer.java
@@ -30,6 +30,11 @@
         boolean respond(String head, OutputStream out) throws IOException;
     }
 
+    /** Thrown by a responder to reset the connection instead of closing it in order. */
+    static final class ConnectionReset extends IOException {
+        private static final long serialVersionUID = 1L;
+    }
+
     private RawServer(String id, Responder responder) {
         try {
             this.socket = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
@@ -108,13 +113,22 @@
                     String length = header(head, "Content-Length");
                     in.readNBytes(length.isEmpty() ? 0 : Integer.parseInt(length));
                     requests.add(head);
-                    reusable = responder.respond(head, connection.getOutputStream());
+                    reusable = respond(head, connection);
                 }
                 head = reusable ? readHead(in) : "";
             }
         }
     }
 
+    private boolean respond(String head, Socket connection) throws IOException {
+        try {
+            return responder.respond(head, connection.getOutputStream());
+        } catch (ConnectionReset e) {
+            connection.setSoLinger(true, 0);
+            throw e;
+        }
+    }
+
     private static String readHead(InputStream in) throws IOException {
         ByteArrayOutputStream head = new ByteArrayOutputStream();
         while (!head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyInboundRequest.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyInboundRequest.java
@@ -34,6 +34,10 @@
     private boolean finished;
     private boolean disconnected;
     private boolean closeAfter;
+    /** Whether the end of the connection is the end of the response, so that it must be reset to cut the response. */
+    private boolean delimitedByClose;
+
+    private volatile boolean ended;
     private final AtomicLong unsent = new AtomicLong();
     private @Nullable Runnable disconnectAction;
 
@@ -191,8 +195,13 @@
         if (started) {
             throw new IllegalStateException("The request has already been answered.");
         }
+        delimitedByClose = head.getProtocol() != Protocol.HTTP_1_1;
+        if (delimitedByClose) {
+            closeAfter = true;
+            CloseMode.set(connection, CloseMode.RESET);
+        }
         // The head is sent with the first part: an empty chunk would terminate the chunked body.
-        responseHead(status, responseHeaders).setChunked(true);
+        responseHead(status, responseHeaders).setChunked(!delimitedByClose);
     }
 
     private HttpResponsePacket responseHead(int status, List<Header> responseHeaders) {
@@ -225,7 +234,12 @@
         }
         unsent.addAndGet(length);
         // A write fails only if the connection is closed, which handleClose reports.
-        Writes.write(connection, content, () -> unsent.addAndGet(-length), failure -> unsent.addAndGet(-length));
+        Writes.write(connection, content, () -> written(length), failure -> written(length));
+    }
+
+    private void written(int length) {
+        unsent.addAndGet(-length);
+        closeIfEnded();
     }
 
     @Override
@@ -235,6 +249,12 @@
 
     @Override
     public void end() {
+        if (delimitedByClose) {
+            finish();
+            ended = true;
+            closeIfEnded();
+            return;
+        }
         write(HttpContent.builder(head.getResponse()).last(true).build(), 0);
         finish();
     }
@@ -245,6 +265,16 @@
         state.requestFinished();
         if (closeAfter) {
             state.stopReading();
+            if (!delimitedByClose) {
+                connection.closeSilently();
+            }
+        }
+    }
+
+    /** Closes the connection in order once a response that ends with it has been written in full. */
+    private void closeIfEnded() {
+        if (ended && unsent.get() == 0) {
+            CloseMode.set(connection, CloseMode.ORDERLY);
             connection.closeSilently();
         }
     }
