Let requests wait long enough for their tokens in BegunStreamTest

On a machine with a load of about 26 one of its 25 tests failed in each of two runs (another one each time) with 429 BUDGET_BUSY: tokens are waited for during half of the objective, 200 ms here, and the fake store took longer. The test is about streams, so its routes have an objective of 4 s; no check has changed.

--- a/entry/src/test/java/io/hornbeamfield/entry/BegunStreamTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/BegunStreamTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -21,6 +22,11 @@
     private final EntryFixture fleet = new EntryFixture();
     private final List<RawServer> servers = new ArrayList<>();
 
+    @BeforeEach
+    void allowTimeForTokens() {
+        fleet.objectiveMs(4_000);
+    }
+
     @AfterEach
     void stop() {
         fleet.close();
