Bound the bodies of all requests together

Each request's body was bounded by the configured limit, all together were not: the process of the entry daemon ended with an OutOfMemoryError when 240 callers sent 900 KB of a body of 1 MB each and nothing more. The requests of all other callers ended with it.

Fix: the transport has a BufferPool of an eighth of the heap for the bodies of its requests. Beyond it the largest request that is not complete, and thus has not run, is answered with 503 and Retry-After. Complete ones count and are kept; each of them fitted in when it was completed. The buffer in which a body was received is released when the body is complete.

--- a/core/src/main/java/io/hornbeamfield/core/attempt/BufferPool.java
+++ b/core/src/main/java/io/hornbeamfield/core/attempt/BufferPool.java
@@ -2,11 +2,13 @@
 
 import java.util.Comparator;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 
 /**
- * Bounds the memory that answers occupy together while they are collected or wait for slow callers. When they occupy
- * too much, those with the most are ended, so that small ones are not affected. Not thread-safe.
+ * Bounds the memory that messages occupy together while they are collected or wait for slow receivers, for example the
+ * answers of servers. When they occupy too much, those with the most are ended, so that small ones are not affected.
+ * Not thread-safe.
  *
  * <pre>{@code
  * pool.add(holder);
@@ -21,12 +23,17 @@
     /** Bytes that were added since the last count, and all that there were then. Released bytes are not deducted. */
     private long upperBoundBytes;
 
-    /** One answer. */
+    /** One message. */
     public interface Holder {
-        /** Returns the number of bytes that the answer occupies now. */
+        /** Returns the number of bytes that the message occupies now. */
         long bufferedBytes();
 
-        /** Ends the answer and releases its bytes; the pool has removed it. */
+        /** Returns whether the message may be ended. Others count and are kept. */
+        default boolean mayBeReleased() {
+            return true;
+        }
+
+        /** Ends the message and releases its bytes; the pool has removed it. */
         void release();
     }
 
@@ -35,34 +42,36 @@
         this.limitBytes = limitBytes;
     }
 
-    /** Adds an answer. */
+    /** Adds a message. */
     public void add(Holder holder) {
         holders.add(holder);
     }
 
-    /** Removes an answer that has ended. */
+    /** Removes a message that has ended. */
     public void remove(Holder holder) {
         holders.remove(holder);
     }
 
-    /** Records that one of the answers has grown, and ends the largest ones if they occupy too much together. */
+    /** Records that one of the messages has grown, and ends the largest ones if they occupy too much together. */
     public void grown(int bytes) {
         upperBoundBytes += bytes;
         if (upperBoundBytes <= limitBytes) {
             return;
         }
         upperBoundBytes = holders.stream().mapToLong(Holder::bufferedBytes).sum();
-        while (upperBoundBytes > limitBytes && !holders.isEmpty()) {
-            releaseLargest();
+        while (upperBoundBytes > limitBytes) {
+            Optional<Holder> largest =
+                    holders.stream().filter(Holder::mayBeReleased).max(Comparator.comparingLong(Holder::bufferedBytes));
+            if (largest.isEmpty()) {
+                return;
+            }
+            release(largest.get());
         }
     }
 
-    private void releaseLargest() {
-        Holder largest = holders.stream()
-                .max(Comparator.comparingLong(Holder::bufferedBytes))
-                .orElseThrow();
-        upperBoundBytes -= largest.bufferedBytes();
-        holders.remove(largest);
-        largest.release();
+    private void release(Holder holder) {
+        upperBoundBytes -= holder.bufferedBytes();
+        holders.remove(holder);
+        holder.release();
     }
 }
--- a/core/src/test/java/io/hornbeamfield/core/attempt/BufferPoolTest.java
+++ b/core/src/test/java/io/hornbeamfield/core/attempt/BufferPoolTest.java
@@ -15,6 +15,7 @@
 
     private final class Answer implements BufferPool.Holder {
         private long bytes;
+        private boolean kept;
 
         Answer() {
             pool.add(this);
@@ -31,6 +32,11 @@
             return bytes;
         }
 
+        @Override
+        public boolean mayBeReleased() {
+            return !kept;
+        }
+
         @Override
         public void release() {
             bytes = 0;
@@ -56,6 +62,16 @@
         assertThat(medium.bufferedBytes() + small.bufferedBytes()).isEqualTo(4_001);
     }
 
+    @Test
+    void theLargestOfThoseThatMayBeEndedIsEnded() {
+        Answer kept = new Answer().grow(6_000);
+        kept.kept = true;
+        Answer medium = new Answer().grow(3_000);
+        new Answer().grow(900).grow(101);
+        assertThat(ended).containsExactly(medium);
+        assertThat(new Answer().grow(6_000).bufferedBytes()).isZero();
+    }
+
     @Test
     void releasedBytesAreAvailableAgain() {
         for (int i = 0; i < 100; i++) {
--- a/entry/src/test/java/io/hornbeamfield/entry/EntryFixture.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/EntryFixture.java
@@ -51,6 +51,11 @@
 
     /** Writes a configuration with one route of each kind, except for the removed routes. */
     void configure(long version, String... removedRoutes) {
+        store.put("config", "main", config(version, removedRoutes));
+    }
+
+    /** Returns what {@link #configure} writes. */
+    ObjectNode config(long version, String... removedRoutes) {
         ObjectNode config = Json.mapper().createObjectNode().put("version", version);
         ArrayNode routes = config.putArray("routes");
         route(routes, "read", "idempotent", "plain", 2, false);
@@ -83,10 +88,10 @@
                 .put("prepay", prepaid)
                 .putArray("api-keys")
                 .add("key-1");
-        store.put("config", "main", config);
+        return config;
     }
 
-    private void route(ArrayNode routes, String name, String kind, String service, int attempts, boolean resumable) {
+    void route(ArrayNode routes, String name, String kind, String service, int attempts, boolean resumable) {
         routes.addObject()
                 .put("name", name)
                 .put("host", "api.example")
@@ -101,7 +106,16 @@
 
     /** Starts a daemon without waiting until it is ready. */
     EntryProcess start() {
-        EntrySettings s = new EntrySettings(
+        EntrySettings s = newSettings(store.address());
+        EntryProcess entry = EntryProcess.start(Path.of("no-settings-file"), s, EventLog.none());
+        settings.add(s);
+        entries.add(entry);
+        return entry;
+    }
+
+    /** Returns the settings of a further daemon that has the given store. */
+    EntrySettings newSettings(String storeAddress) {
+        return new EntrySettings(
                 "entry-" + entries.size(),
                 "north",
                 FreePorts.freeAddress(),
@@ -110,7 +124,7 @@
                 FreePorts.freeAddress(),
                 "secret",
                 0,
-                store.address(),
+                storeAddress,
                 3_000,
                 2_000,
                 5_000,
@@ -118,10 +132,6 @@
                 retrySlack,
                 10_000,
                 5);
-        EntryProcess entry = EntryProcess.start(Path.of("no-settings-file"), s, EventLog.none());
-        settings.add(s);
-        entries.add(entry);
-        return entry;
     }
 
     EntryProcess startReady() {
--- a/entry/src/test/java/io/hornbeamfield/entry/RawServer.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/RawServer.java
@@ -15,12 +15,14 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import org.jspecify.annotations.Nullable;
 
 /** Backend server that writes the bytes that a test chooses, whether or not they are a valid response. */
 final class RawServer implements AutoCloseable {
     private final ServerSocket socket;
     private final String id;
     private final Responder responder;
+    private final @Nullable Responder health;
     private final List<String> requests = new CopyOnWriteArrayList<>();
     private volatile boolean healthy = true;
 
@@ -35,7 +37,7 @@
         private static final long serialVersionUID = 1L;
     }
 
-    private RawServer(String id, Responder responder) {
+    private RawServer(String id, Responder responder, @Nullable Responder health) {
         try {
             this.socket = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
         } catch (IOException e) {
@@ -43,11 +45,18 @@
         }
         this.id = id;
         this.responder = responder;
+        this.health = health;
     }
 
     /** Starts a server of a service and registers it. */
     static RawServer start(FakeStore store, String id, String service, Responder responder) {
-        RawServer server = new RawServer(id, responder);
+        return start(store, id, service, responder, null);
+    }
+
+    /** Starts a server that also answers its health checks by a responder, unless it is null. */
+    static RawServer start(
+            FakeStore store, String id, String service, Responder responder, @Nullable Responder health) {
+        RawServer server = new RawServer(id, responder, health);
         run(server::accept);
         ObjectNode entry = Json.mapper().createObjectNode();
         entry.put("service", service).put("address", "127.0.0.1:" + server.socket.getLocalPort());
@@ -104,7 +113,9 @@
             boolean reusable = true;
             String head = readHead(in);
             while (reusable && !head.isEmpty()) {
-                if (head.startsWith("GET /healthz")) {
+                if (health != null && head.startsWith("GET /healthz")) {
+                    reusable = health.respond(head, connection.getOutputStream());
+                } else if (head.startsWith("GET /healthz")) {
                     String status = healthy ? "200 OK" : "503 Unavailable";
                     write(
                             connection.getOutputStream(),
--- a/net/src/main/java/io/hornbeamfield/net/relay/RelayTransport.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/RelayTransport.java
@@ -13,10 +13,22 @@
  * }</pre>
  */
 public interface RelayTransport extends AutoCloseable {
+    /** Leaves room for the copies that are made while bodies grow. */
+    long INPUT_PER_HEAP = 8;
 
-    /** Starts a transport whose thread has the given name. */
+    /** Starts a transport whose thread has the given name and that keeps at most an eighth of the heap of input. */
     static RelayTransport start(String name, Serial serial) {
-        return GrizzlyRelayTransport.start(name, serial);
+        return start(name, serial, Runtime.getRuntime().maxMemory() / INPUT_PER_HEAP);
+    }
+
+    /**
+     * Starts a transport whose thread has the given name.
+     *
+     * @param maxInputBytes bytes of the requests and of the heads of responses that are kept at the same time; beyond
+     *     that the largest of those that are not complete are ended, requests with status 503 after their heads
+     */
+    static RelayTransport start(String name, Serial serial, long maxInputBytes) {
+        return GrizzlyRelayTransport.start(name, serial, maxInputBytes);
     }
 
     /** Accepts connections at {@code ip:port}; port 0 selects a free port. Returns the bound port. */
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyInboundRequest.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyInboundRequest.java
@@ -1,5 +1,6 @@
 package io.hornbeamfield.net.relay.internal;
 
+import io.hornbeamfield.core.attempt.BufferPool;
 import io.hornbeamfield.net.relay.Header;
 import io.hornbeamfield.net.relay.InboundRequest;
 import java.io.ByteArrayOutputStream;
@@ -17,8 +18,10 @@
 import org.jspecify.annotations.Nullable;
 
 /** A request on a client connection. All calls run under the transport's {@code Serial}. */
-final class GrizzlyInboundRequest implements InboundRequest {
+final class GrizzlyInboundRequest implements InboundRequest, BufferPool.Holder {
     private static final int FIRST_FINAL_STATUS = 200;
+    private static final int SERVICE_UNAVAILABLE = 503;
+    private static final Header RETRY_AFTER = new Header("Retry-After", "1");
 
     private final Connection<?> connection;
     private final HttpRequestPacket head;
@@ -27,7 +30,8 @@
     private final String path;
     private final String query;
     private final List<Header> headers;
-    private final ByteArrayOutputStream receivedBody = new ByteArrayOutputStream();
+    private final BufferPool input;
+    private ByteArrayOutputStream receivedBody = new ByteArrayOutputStream();
     private byte[] body = new byte[0];
     private boolean complete;
     private boolean started;
@@ -41,10 +45,11 @@
     private final AtomicLong unsent = new AtomicLong();
     private @Nullable Runnable disconnectAction;
 
-    GrizzlyInboundRequest(Connection<?> connection, HttpRequestPacket head, InboundState state) {
+    GrizzlyInboundRequest(Connection<?> connection, HttpRequestPacket head, InboundState state, BufferPool input) {
         this.connection = connection;
         this.head = head;
         this.state = state;
+        this.input = input;
         this.method = head.getMethod().getMethodString();
         this.path = head.getRequestURI();
         String q = head.getQueryString();
@@ -96,7 +101,11 @@
     }
 
     void append(byte[] part) {
-        receivedBody.writeBytes(part);
+        if (part.length > 0) {
+            input.add(this);
+            receivedBody.writeBytes(part);
+            input.grown(part.length);
+        }
     }
 
     int bodyLength() {
@@ -106,7 +115,25 @@
     void markComplete() {
         complete = true;
         body = receivedBody.toByteArray();
-        receivedBody.reset();
+        receivedBody = new ByteArrayOutputStream(0);
+    }
+
+    @Override
+    public long bufferedBytes() {
+        return body.length + receivedBody.size();
+    }
+
+    /** Only a request that is not complete has not run for certain. */
+    @Override
+    public boolean mayBeReleased() {
+        return !complete;
+    }
+
+    /** Refuses the request, because the requests of all callers occupy too much memory, and this one the most. */
+    @Override
+    public void release() {
+        closeAfter = true;
+        reply(SERVICE_UNAVAILABLE, List.of(RETRY_AFTER), new byte[0]);
     }
 
     boolean isComplete() {
@@ -119,6 +146,7 @@
 
     void connectionClosed() {
         disconnected = true;
+        input.remove(this);
         Runnable action = disconnectAction;
         if (!finished && action != null) {
             disconnectAction = null;
@@ -261,6 +289,7 @@
 
     private void finish() {
         finished = true;
+        input.remove(this);
         disconnectAction = null;
         state.requestFinished();
         if (closeAfter) {
@@ -282,6 +311,7 @@
     @Override
     public void cut() {
         finished = true;
+        input.remove(this);
         disconnectAction = null;
         connection.terminateSilently();
     }
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyRelayTransport.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyRelayTransport.java
@@ -1,5 +1,6 @@
 package io.hornbeamfield.net.relay.internal;
 
+import io.hornbeamfield.core.attempt.BufferPool;
 import io.hornbeamfield.net.http.internal.ResponseCodec;
 import io.hornbeamfield.net.relay.ConnectListener;
 import io.hornbeamfield.net.relay.InboundHandler;
@@ -28,11 +29,13 @@
     private final TCPNIOTransport transport;
     private final Serial serial;
     private final InboundConnections inbound = new InboundConnections();
+    private final BufferPool input;
     private final FilterChain clientChain;
 
-    private GrizzlyRelayTransport(TCPNIOTransport transport, Serial serial) {
+    private GrizzlyRelayTransport(TCPNIOTransport transport, Serial serial, long maxInputBytes) {
         this.transport = transport;
         this.serial = serial;
+        this.input = new BufferPool(maxInputBytes);
         this.clientChain = FilterChainBuilder.stateless()
                 .add(new ReadFilter(OutboundFilter::endExcessive))
                 .add(new UnexpectedBytesFilter())
@@ -41,8 +44,8 @@
                 .build();
     }
 
-    /** Starts a transport whose thread has the given name. */
-    public static RelayTransport start(String name, Serial serial) {
+    /** Starts a transport that keeps at most the given number of bytes of heads and requests. */
+    public static RelayTransport start(String name, Serial serial, long maxInputBytes) {
         TCPNIOTransport transport = TCPNIOTransportBuilder.newInstance()
                 .setName(name)
                 .setIOStrategy(SameThreadIOStrategy.getInstance())
@@ -56,7 +59,7 @@
         } catch (IOException e) {
             throw new UncheckedIOException("Cannot start the relay transport " + name + ".", e);
         }
-        return new GrizzlyRelayTransport(transport, serial);
+        return new GrizzlyRelayTransport(transport, serial, maxInputBytes);
     }
 
     @Override
@@ -68,7 +71,7 @@
                 .add(new ReadFilter(Connection::terminateSilently))
                 .add(new InboundConnectionFilter(inbound, limits))
                 .add(new RequestCodecFilter(ConnectionInput.MAX_HEADER_BYTES, keepAlive))
-                .add(new InboundFilter(serial, handler, inbound, limits))
+                .add(new InboundFilter(serial, handler, inbound, limits, input))
                 .build();
         InetSocketAddress bindAddress = socketAddress(address);
         try {
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundFilter.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundFilter.java
@@ -1,5 +1,6 @@
 package io.hornbeamfield.net.relay.internal;
 
+import io.hornbeamfield.core.attempt.BufferPool;
 import io.hornbeamfield.net.relay.InboundHandler;
 import io.hornbeamfield.net.relay.InboundLimits;
 import io.hornbeamfield.net.relay.Serial;
@@ -25,9 +26,16 @@
     private final InboundHandler handler;
     private final InboundConnections connections;
     private final Supplier<InboundLimits> limits;
+    /** Guarded by the serial, like the requests. */
+    private final BufferPool input;
 
     InboundFilter(
-            Serial serial, InboundHandler handler, InboundConnections connections, Supplier<InboundLimits> limits) {
+            Serial serial,
+            InboundHandler handler,
+            InboundConnections connections,
+            Supplier<InboundLimits> limits,
+            BufferPool input) {
+        this.input = input;
         this.serial = serial;
         this.handler = handler;
         this.connections = connections;
@@ -53,7 +61,7 @@
         HttpRequestPacket head = (HttpRequestPacket) content.getHttpHeader();
         GrizzlyInboundRequest request = state.current();
         if (request == null) {
-            request = new GrizzlyInboundRequest(connection, head, state);
+            request = new GrizzlyInboundRequest(connection, head, state, input);
             state.requestStarted(request);
             checkHead(request, head);
         } else if (!request.isReceiving(head)) {
@@ -65,6 +73,9 @@
             return;
         }
         request.append(bytes(content.getContent()));
+        if (request.responseStarted()) {
+            return;
+        }
         if (request.bodyLength() > limits.get().maxBodyBytes()) {
             reject(request, CONTENT_TOO_LARGE);
         } else if (content.isLast()) {
