Bound the heads of all connections together

The head of a message may grow to 128 KB before it is handled, at callers' connections and at those to servers, and the heads of all connections together had no bound: 960 callers that sent 120 KB of a head ended the entry daemon with an OutOfMemoryError. In reads of a byte each byte of a head also costs a buffer.

Fix: what a connection's codec keeps beyond one read counts in the transport's pool of input, with 128 bytes more a read. Beyond an eighth of the heap the connections with the most are ended: a caller's is closed unread, and a server's answer counts as excessive.

--- a/entry/src/test/java/io/hornbeamfield/entry/EndlessInputMemoryTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/EndlessInputMemoryTest.java
@@ -311,7 +311,7 @@
 
     /** Guards against requests that are within the limit of each and together use up the memory. */
     @ParameterizedTest
-    @ValueSource(strings = {"a body"})
+    @ValueSource(strings = {"a body", "a head"})
     void manyRequestsThatStopBeforeTheirEndLeaveTheDaemonRunning(String what) throws Exception {
         String head = "POST /lookup/x HTTP/1.1\r\nHost: api.example\r\n" + EntryFixture.KEY + "\r\nX-Attempt-Id: a\r\n";
         String start = what.equals("a body")
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/ConnectionInput.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/ConnectionInput.java
@@ -1,6 +1,7 @@
 package io.hornbeamfield.net.relay.internal;
 
 import io.hornbeamfield.core.attempt.ReadSize;
+import java.util.function.Supplier;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
@@ -26,6 +27,9 @@
     /** Head of the message whose body is being received. */
     private @Nullable HttpHeader head;
 
+    /** The input that is kept, if there is more than that of one read. */
+    private volatile @Nullable UnparsedInput unparsed;
+
     private int lastReadBytes;
     private int bytesWithoutContent;
 
@@ -51,6 +55,29 @@
         return valid;
     }
 
+    /** Returns whether the codec keeps the input of earlier reads. */
+    boolean isIncomplete() {
+        return bytesWithoutContent > lastReadBytes;
+    }
+
+    /** Counts the last read as input that is kept. */
+    void keep(Supplier<UnparsedInput> create) {
+        UnparsedInput kept = unparsed;
+        if (kept == null) {
+            kept = create.get();
+            unparsed = kept;
+        }
+        kept.add(lastReadBytes);
+    }
+
+    /** Forgets the input that is kept, because it has been handled or the connection has been closed. */
+    void clearKept() {
+        UnparsedInput kept = unparsed;
+        if (kept != null) {
+            kept.clear();
+        }
+    }
+
     /** Records what the codec made of the input: a head, a part of a body, or nothing yet. */
     void parsed(HttpContent content) {
         readSize.partHandled();
@@ -59,6 +86,7 @@
         if (contentHead != head || content.isLast() || (body != null && body.hasRemaining())) {
             head = content.isLast() || isInterim(contentHead) ? null : contentHead;
             bytesWithoutContent = 0;
+            clearKept();
         }
     }
 
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyRelayTransport.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyRelayTransport.java
@@ -37,7 +37,7 @@
         this.serial = serial;
         this.input = new BufferPool(maxInputBytes);
         this.clientChain = FilterChainBuilder.stateless()
-                .add(new ReadFilter(OutboundFilter::endExcessive))
+                .add(new ReadFilter(serial, input, OutboundFilter::endExcessive))
                 .add(new UnexpectedBytesFilter())
                 .add(new ResponseCodec(ConnectionInput.MAX_HEADER_BYTES))
                 .add(new OutboundFilter())
@@ -68,7 +68,7 @@
         keepAlive.setIdleTimeoutInSeconds(-1);
         keepAlive.setMaxRequestsCount(-1);
         FilterChain chain = FilterChainBuilder.stateless()
-                .add(new ReadFilter(Connection::terminateSilently))
+                .add(new ReadFilter(serial, input, Connection::terminateSilently))
                 .add(new InboundConnectionFilter(inbound, limits))
                 .add(new RequestCodecFilter(ConnectionInput.MAX_HEADER_BYTES, keepAlive))
                 .add(new InboundFilter(serial, handler, inbound, limits, input))
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/ReadFilter.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/ReadFilter.java
@@ -1,6 +1,8 @@
 package io.hornbeamfield.net.relay.internal;
 
+import io.hornbeamfield.core.attempt.BufferPool;
 import io.hornbeamfield.core.attempt.ReadSize;
+import io.hornbeamfield.net.relay.Serial;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
@@ -20,10 +22,19 @@
     /** Shared by all connections, since the transport reads them on a single thread. */
     private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(ReadSize.MAX_BYTES);
 
+    private final Serial serial;
+    private final BufferPool pool;
     private final Consumer<Connection<?>> onExcess;
 
-    /** Creates a filter that passes connections to the callback that send too much without content. */
-    ReadFilter(Consumer<Connection<?>> onExcess) {
+    /**
+     * Creates a filter.
+     *
+     * @param pool pool of the input that is kept until it can be handled, guarded by the serial
+     * @param onExcess ends a connection that has sent too much without content, or of which too much is kept
+     */
+    ReadFilter(Serial serial, BufferPool pool, Consumer<Connection<?>> onExcess) {
+        this.serial = serial;
+        this.pool = pool;
         this.onExcess = onExcess;
     }
 
@@ -48,12 +59,25 @@
             onExcess.accept(connection);
             return ctx.getStopAction();
         }
+        if (input.isIncomplete()) {
+            input.keep(() -> new UnparsedInput(serial, pool, () -> onExcess.accept(connection)));
+            if (!connection.isOpen()) {
+                input.clearKept();
+                return ctx.getStopAction();
+            }
+        }
         byte[] bytes = new byte[read];
         readBuffer.flip().get(bytes);
         ctx.setMessage(Buffers.wrap(null, bytes));
         return ctx.getInvokeAction();
     }
 
+    @Override
+    public NextAction handleClose(FilterChainContext ctx) throws IOException {
+        ConnectionInput.of(ctx.getConnection()).clearKept();
+        return super.handleClose(ctx);
+    }
+
     private static NextAction closeAfter(FilterChainContext ctx, ConnectionEnd end) {
         ConnectionEnd.OF.set(ctx.getConnection(), end);
         ctx.getConnection().terminateSilently();
