End an answer that has more tokens than the client asked for

The client library collected the tokens of an answer without a bound, as the router did: each new token renewed the allowance of its stream.

Evidence: StreamResumeTest.anAnswerWithoutAnEndIsNotCollectedBeyondTheTokensOf ItsRequest failed before; the listener got all 400 tokens of a request for 40.

Fix: AnswerText ends an attempt at the tokens of its request and 16 more, and at 16 MB, as incomplete.

--- a/client/src/main/java/io/hornbeamfield/client/internal/ChatSender.java
+++ b/client/src/main/java/io/hornbeamfield/client/internal/ChatSender.java
@@ -36,7 +36,7 @@
         this.settings = settings;
         this.request = request;
         this.body = body(request);
-        this.text = new AnswerText(listener);
+        this.text = new AnswerText(listener, request.maxTokens());
         this.executor = executor;
         this.timer = timer;
         this.health = health;
--- a/client/src/main/java/io/hornbeamfield/client/internal/ChatStream.java
+++ b/client/src/main/java/io/hornbeamfield/client/internal/ChatStream.java
@@ -150,6 +150,9 @@
             finish(new AttemptResult.Incomplete("Answer parts are missing: expected offset " + text.nextOffset()
                     + ", got " + node.path("offset") + "."));
         }
+        if (text.isExcessive()) {
+            finish(new AttemptResult.Incomplete("The router sent more than an answer of this request can have."));
+        }
         if (node.has("usage")) {
             promptTokens = node.path("usage").path("prompt_tokens").asLong();
             completionTokens = node.path("usage").path("completion_tokens").asLong();
--- a/client/src/test/java/io/hornbeamfield/client/StreamResumeTest.java
+++ b/client/src/test/java/io/hornbeamfield/client/StreamResumeTest.java
@@ -164,4 +164,20 @@
         assertThat(keys).hasSize(4).containsOnly(first.keys.get(0));
         assertThat(received).hasToString("w0 w1 ");
     }
+
+    /** Guards against an answer that goes on beyond the tokens of its request until the memory is used up. */
+    @Test
+    void anAnswerWithoutAnEndIsNotCollectedBeyondTheTokensOfItsRequest() {
+        int maxTokens = 40;
+        for (int i = 0; i < 20; i++) {
+            first.script.add(FakeRouter.serve("r1", "w", 0, 10 * maxTokens, false));
+            second.script.add(FakeRouter.serve("r1", "w", 0, 10 * maxTokens, false));
+        }
+        ChatRequest request = ChatRequest.forModel("m")
+                .user("when to sow")
+                .maxTokens(maxTokens)
+                .build();
+        assertThat(client.chat(request, listener).join()).isNotInstanceOf(Outcome.Answered.class);
+        assertThat(received.toString().split(" ")).hasSizeLessThanOrEqualTo(maxTokens + 16);
+    }
 }
