Test the entry daemon with a store that answers without end

The store's front in the test passes calls on until the daemon is ready and then answers each with bytes without end.

--- a/entry/src/test/java/io/hornbeamfield/entry/EndlessInputMemoryTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/EndlessInputMemoryTest.java
@@ -3,9 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.Socket;
@@ -168,7 +166,7 @@
             servers.add(RawServer.start(fleet.store, "i-p" + i, "plain", sick));
         }
         startDaemon();
-        List<CompletableFuture<End>> answers = new ArrayList<>();
+        List<CompletableFuture<ResponseEnd>> answers = new ArrayList<>();
         for (int kind = 0; kind < kinds.size(); kind++) {
             for (String route : List.of("report", "chat", "read", "write")) {
                 String path = "/" + route + "/" + kind;
@@ -193,7 +191,7 @@
         int lookUps = 0;
         while (lookUps < 10 || !all.isDone()) {
             assertThat(System.nanoTime()).as("all inputs end").isLessThan(end);
-            End answer = call("/lookup/x");
+            ResponseEnd answer = call("/lookup/x");
             assertThat(answer.status())
                     .as("%s; output: %s", answer, daemon.outputEnd())
                     .isEqualTo(200);
@@ -216,51 +214,15 @@
         return s;
     }
 
-    private End call(String path) {
+    private ResponseEnd call(String path) {
         String request = "POST " + path + " HTTP/1.1\r\nHost: api.example\r\n" + EntryFixture.KEY + "\r\n"
                 + "X-Attempt-Id: " + path + "\r\nX-Deadline-Ms: " + DEADLINE_MS
                 + "\r\nX-Token-Counts: 10,100\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
         try (Socket s = connect(settings.callerAddress())) {
             s.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
-            return End.of(s.getInputStream());
+            return ResponseEnd.of(s.getInputStream());
         } catch (IOException e) {
-            return new End("", 0, "");
-        }
-    }
-
-    /** What a caller sees of a response: its head, the number of bytes of its body, and their last ones. */
-    private record End(String head, long bodyBytes, String tail) {
-        static End of(InputStream in) throws IOException {
-            ByteArrayOutputStream start = new ByteArrayOutputStream();
-            long size = 0;
-            String tail = "";
-            byte[] buffer = new byte[8 * 1024];
-            try {
-                for (int n = in.read(buffer); n >= 0; n = in.read(buffer)) {
-                    size += n;
-                    if (start.size() < buffer.length) {
-                        start.write(buffer, 0, n);
-                    }
-                    String text = tail + new String(buffer, 0, n, StandardCharsets.ISO_8859_1);
-                    tail = text.substring(Math.max(0, text.length() - 7));
-                }
-            } catch (IOException e) {
-                tail = "[reset]";
-            }
-            String text = start.toString(StandardCharsets.ISO_8859_1);
-            int end = text.indexOf("\r\n\r\n");
-            String head = end < 0 ? "" : text.substring(0, end);
-            return new End(head, end < 0 ? 0 : size - end - 4, tail);
-        }
-
-        int status() {
-            return head.isEmpty() ? 0 : Integer.parseInt(head.split(" ")[1]);
-        }
-
-        boolean looksComplete() {
-            String length = RawServer.header(head, "Content-Length");
-            boolean whole = length.isEmpty() ? tail.endsWith("\r\n0\r\n\r\n") : Long.parseLong(length) == bodyBytes;
-            return status() / 100 == 2 && whole;
+            return new ResponseEnd("", 0, "");
         }
     }
 
@@ -384,11 +346,34 @@
             servers.add(RawServer.start(fleet.store, "i-h" + i, "plain", sick, sick));
         }
         startDaemon();
-        List<CompletableFuture<End>> answers = new ArrayList<>();
+        List<CompletableFuture<ResponseEnd>> answers = new ArrayList<>();
         for (int i = 0; i < SERVERS; i++) {
             answers.add(CompletableFuture.supplyAsync(() -> call("/read/0"), threads));
         }
         lookUpUntilDone(answers);
         assertThat(opened).hasPositiveValue();
     }
+
+    @Test
+    void answersOfTheStoreWithoutEndLeaveTheDaemonRunning() throws Exception {
+        List<String> heads = List.of(
+                "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{\"items\":[\"",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + RawServer.chunk("{\"events\":[\""),
+                "HTTP/1.1 200 OK\r\nContent-Length: 999999999\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nX-Line: ",
+                "");
+        try (StoreFront front = new StoreFront(fleet.store.address(), threads)) {
+            settings = fleet.newSettings(front.address());
+            startDaemon();
+            front.failWith(out -> {
+                String head = heads.get(opened.get() % heads.size());
+                String part =
+                        head.contains("chunked") ? RawServer.chunk("x".repeat(PART_BYTES)) : "x".repeat(PART_BYTES);
+                sendWithoutEnd(out, head, text(part), false);
+            });
+            CompletableFuture<Void> manyEnded = CompletableFuture.runAsync(
+                    () -> EntryFixture.await(() -> closed.get() >= 5 * heads.size()), threads);
+            lookUpUntilDone(List.of(manyEnded));
+        }
+    }
 }
