Bound the bodies that the router's HTTP server receives

A body over the limit of 4 MB was read on without an end, and the bodies of all callers together had no bound.

Evidence: EndlessBodyTest, both tests failed before; no connection was closed, neither that of a body without an end nor those of eight bodies.

All bodies that are being received occupy an eighth of the heap; beyond that the connections of the largest are closed, unread.

--- a/net/src/main/java/io/hornbeamfield/net/http/HttpServer.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/HttpServer.java
@@ -19,6 +19,9 @@
     /** Maximum size of a request body: 4 MiB. Larger bodies are answered with status 413. */
     int MAX_BODY_BYTES = 4 * 1024 * 1024;
 
+    /** Leaves room for the copies that are made while bodies grow. */
+    long BODIES_PER_HEAP = 8;
+
     /** Returns a builder for a server. */
     static Builder builder() {
         return new Builder();
@@ -50,6 +53,7 @@
         private String address = "127.0.0.1:0";
         private String name = "http";
         private int workerThreads = 8;
+        private long maxBodyBytesTogether = Runtime.getRuntime().maxMemory() / BODIES_PER_HEAP;
         private final List<Route> routes = new ArrayList<>();
 
         private Builder() {}
@@ -72,6 +76,15 @@
             return this;
         }
 
+        /**
+         * Sets the bytes of all bodies that are received at the same time, beyond which the connections of the largest
+         * are closed; default: an eighth of the heap.
+         */
+        public Builder maxBodyBytesTogether(long bytes) {
+            this.maxBodyBytesTogether = bytes;
+            return this;
+        }
+
         /** Adds a route. */
         public Builder route(String method, String path, HttpHandler handler) {
             routes.add(new Route(method, path, handler));
@@ -80,7 +93,7 @@
 
         /** Binds the address and starts serving. */
         public HttpServer start() {
-            return GrizzlyHttpServer.start(address, name, workerThreads, List.copyOf(routes));
+            return GrizzlyHttpServer.start(address, name, workerThreads, maxBodyBytesTogether, List.copyOf(routes));
         }
     }
 }
--- a/net/src/main/java/io/hornbeamfield/net/http/internal/GrizzlyHttpServer.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/GrizzlyHttpServer.java
@@ -7,8 +7,10 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.List;
+import java.util.concurrent.Executor;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.TimeUnit;
+import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.http.server.HttpHandler;
 import org.glassfish.grizzly.http.server.NetworkListener;
 import org.glassfish.grizzly.http.server.Request;
@@ -34,7 +36,8 @@
     }
 
     /** Binds the address and starts the server. */
-    public static HttpServer start(String address, String name, int workerThreads, List<Route> routes) {
+    public static HttpServer start(
+            String address, String name, int workerThreads, long maxBodyBytesTogether, List<Route> routes) {
         int colon = address.lastIndexOf(':');
         String host = address.substring(0, colon);
         int port = Integer.parseInt(address.substring(colon + 1));
@@ -46,7 +49,8 @@
         listener.getKeepAlive().setMaxRequestsCount(-1);
         org.glassfish.grizzly.http.server.HttpServer server = new org.glassfish.grizzly.http.server.HttpServer();
         server.addListener(listener);
-        server.getServerConfiguration().addHttpHandler(new Dispatcher(routes), "/");
+        server.getServerConfiguration()
+                .addHttpHandler(new Dispatcher(routes, new RequestBodies(maxBodyBytesTogether)), "/");
         server.getServerConfiguration().setAllowPayloadForUndefinedHttpMethods(true);
         try {
             server.start();
@@ -92,15 +96,21 @@
 
     private static final class Dispatcher extends HttpHandler {
         private final List<Route> routes;
+        private final RequestBodies bodies;
 
-        Dispatcher(List<Route> routes) {
+        Dispatcher(List<Route> routes, RequestBodies bodies) {
             this.routes = routes;
+            this.bodies = bodies;
         }
 
         @Override
         public void service(Request request, Response response) {
             response.suspend();
-            BodyReader.read(request, body -> dispatch(new GrizzlyExchange(request, response, body)));
+            Connection<?> connection = request.getConnection();
+            Executor workers = connection.getTransport().getWorkerThreadPool();
+            // In a thread of its own, since the caller holds locks of another connection.
+            Runnable close = () -> workers.execute(connection::terminateSilently);
+            BodyReader.read(request, bodies, close, body -> dispatch(new GrizzlyExchange(request, response, body)));
         }
 
         private void dispatch(GrizzlyExchange exchange) {
