Break off answers whose head leaves their end open

Cause: Grizzly's client takes the first of several lengths, ignores codings that it does not know, accepts any version and reads header names over the ends of lines; what is left is an answer that ends with its connection. Requests were checked for this (RequestCheck), answers were not.

Change: AnswerCheck looks at the head of each final answer before any of it is passed on. An answer that does not pass is broken: its connection is closed, and the request may have run.

Known red: AnswerFramingTest.anEmptyChunkSizeDoesNotEndAnAnswer. Grizzly takes an empty chunk size for that of the last chunk.

--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/OutboundExchange.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/OutboundExchange.java
@@ -59,9 +59,14 @@
             return;
         }
         if (!headReceived) {
+            List<Header> headers = headers(head.getHeaders());
+            if (!AnswerCheck.hasClearEnd(head, headers)) {
+                fail("the head of the response does not say clearly where it ends");
+                return;
+            }
             headReceived = true;
             delimitedByClose = !head.isChunked() && head.getContentLength() < 0;
-            listener.onHead(head.getStatus(), headers(head.getHeaders()));
+            listener.onHead(head.getStatus(), headers);
         }
         Buffer buffer = content.getContent();
         if (!done && buffer != null && buffer.hasRemaining()) {
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/RequestCheck.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/RequestCheck.java
@@ -21,7 +21,7 @@
         int codings = 0;
         int hosts = 0;
         for (Header h : headers) {
-            if (!TOKEN.matcher(h.name()).matches() || hasControlCharacter(h.value())) {
+            if (!isValid(h)) {
                 return false;
             }
             switch (h.name().toLowerCase(Locale.ROOT)) {
@@ -36,6 +36,11 @@
         return lengths + codings <= 1 && hosts <= 1;
     }
 
+    /** Returns whether the name is a token and the value is on one line and without control characters. */
+    static boolean isValid(Header header) {
+        return TOKEN.matcher(header.name()).matches() && !hasControlCharacter(header.value());
+    }
+
     private static boolean hasControlCharacter(String value) {
         return value.chars().anyMatch(c -> (c < ' ' && c != '\t') || c == 0x7f);
     }
