Take an encoded success for a broken answer

What callers saw (found by a test, in no run of the users): a 200 with a Content-Encoding, although callers ask for bodies without any encoding and such a body is not the server's.

Cause: Attempt.onHead checked id, refusal and signature only.

Change: a 2xx with a Content-Encoding is BROKEN.

Evidence: the body with br in AnswerFramingTest was delivered before; without the check (trial) both encoded bodies fail, now none.

--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/Attempt.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/Attempt.java
@@ -159,6 +159,11 @@
             discardAndEnd(AttemptOutcome.BROKEN, "the refusal on a reused connection has no attempt id");
         } else if (!declined && status / 100 == 2 && !signed) {
             discardAndEnd(AttemptOutcome.BROKEN, "the response has no signature");
+        } else if (!declined
+                && status / 100 == 2
+                && Header.find(answerHeaders, "Content-Encoding").isPresent()) {
+            // Callers and this system ask for no encoding, so that this is not the body that the server meant to send.
+            discardAndEnd(AttemptOutcome.BROKEN, "the response has a Content-Encoding");
         }
         isStream = !done && !declined && status / 100 == 2 && listener.isStream(answerHeaders);
     }
--- a/entry/src/test/java/io/hornbeamfield/entry/AnswerFramingTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/AnswerFramingTest.java
@@ -65,6 +65,8 @@
 
     static Stream<Arguments> invalidAnswers() {
         return Stream.of(
+                answer("an encoded body", ANSWER + "Content-Encoding: gzip\r\n" + LENGTH + "\r\n" + EVENT),
+                answer("an encoded body in chunks", ANSWER + "Content-Encoding: br\r\n" + CHUNKED + "\r\n" + CHUNKS),
                 answer("two differing lengths", ANSWER + LENGTH + "Content-Length: 90\r\n\r\n" + EVENT),
                 answer("a shorter second length", ANSWER + LENGTH + "Content-Length: 8\r\n\r\n" + EVENT),
                 answer("two lengths in a field", ANSWER + "Content-Length: 19, 90\r\n\r\n" + EVENT),
