Wait in a planned stop until queued answers are written

A caller that read a long answer slowly got it truncated by a planned stop, although the server had answered: a request counted as done once its answer was queued, so that the daemon could end with the rest of it in memory.

The stop now also waits until no response bytes are queued (RelayTransport.unsentBytes), up to the end of the grace period.

--- a/entry/src/main/java/io/hornbeamfield/entry/EntryProcess.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/EntryProcess.java
@@ -212,7 +212,8 @@
             blackboard.shutdownStage(stage);
             traffic.shutdownStageChanged();
         }
-        boolean idle = stage.isAtLeast(ShutdownStage.REFUSING) && traffic.openRequests() == 0;
+        boolean idle =
+                stage.isAtLeast(ShutdownStage.REFUSING) && traffic.openRequests() == 0 && transport.unsentBytes() == 0;
         if (idle || stage == ShutdownStage.ENDED) {
             returnTokens(startedMs, stopped);
         } else {
--- a/entry/src/test/java/io/hornbeamfield/entry/GracePeriodTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/GracePeriodTest.java
@@ -31,8 +31,11 @@
     private static final long SHORT_GRACE_MS = 3_000;
 
     /** Time after the start of a stop at which new requests are refused. */
+    private static final long REFUSE_MS = 2_800;
+
     private static final long SHORT_REFUSE_MS = 1_050;
     private static final String SLOW = "slow";
+    private static final int LONG_ANSWER_BYTES = 6_000_000;
 
     private final EntryFixture fleet = new EntryFixture();
     private final Map<String, String> answers = new ConcurrentHashMap<>();
@@ -289,4 +292,22 @@
                 .isEqualTo(1);
     }
 
+    @Test
+    void aLongAnswerIsSentToItsEndToACallerThatReadsLate() throws IOException {
+        FakeBackendServer server = fleet.runner("i-1", "plain");
+        server.respondWith(r -> r.reply(200, FakeBackendServer.signedHeaders(r), new byte[LONG_ANSWER_BYTES]));
+        EntryProcess entry = start(GRACE_MS);
+        try (KeptCaller slow = KeptCaller.connect(fleet.address(0), 65_536)) {
+            slow.send(KeptCaller.request("/write/x", "w1"));
+            EntryFixture.await(() -> !server.receivedRequests().isEmpty());
+            Thread ending = new Thread(() -> end(entry));
+            ending.start();
+            sleep(REFUSE_MS + 700);
+            assertThat(slow.readAnswer()).startsWith(OK).hasSizeGreaterThan(LONG_ANSWER_BYTES);
+            ending.join(GRACE_MS);
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
 }
--- a/net/src/main/java/io/hornbeamfield/net/relay/RelayTransport.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/RelayTransport.java
@@ -31,6 +31,9 @@
     /** Returns the number of open client connections. */
     int inboundConnections();
 
+    /** Returns the number of response bytes that are queued but not yet written to the sockets of clients. */
+    long unsentBytes();
+
     @Override
     void close();
 }
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyInboundRequest.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyInboundRequest.java
@@ -38,13 +38,14 @@
     private boolean delimitedByClose;
 
     private volatile boolean ended;
-    private final AtomicLong unsent = new AtomicLong();
+    private final AtomicLong unsent;
     private @Nullable Runnable disconnectAction;
 
     GrizzlyInboundRequest(Connection<?> connection, HttpRequestPacket head, InboundState state) {
         this.connection = connection;
         this.head = head;
         this.state = state;
+        this.unsent = state.unsent();
         this.method = head.getMethod().getMethodString();
         this.path = head.getRequestURI();
         String q = head.getQueryString();
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyRelayTransport.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyRelayTransport.java
@@ -118,6 +118,11 @@
         return inbound.size();
     }
 
+    @Override
+    public long unsentBytes() {
+        return inbound.unsentBytes();
+    }
+
     @Override
     public void close() {
         try {
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundConnections.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundConnections.java
@@ -32,6 +32,10 @@
         return all.size();
     }
 
+    long unsentBytes() {
+        return all.stream().mapToLong(s -> s.unsent().get()).sum();
+    }
+
     void closeTimedOut() {
         long now = System.nanoTime();
         List.copyOf(all).forEach(s -> s.closeIfTimedOut(now));
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundState.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundState.java
@@ -2,6 +2,7 @@
 
 import io.hornbeamfield.net.relay.InboundLimits;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 import org.glassfish.grizzly.Connection;
 import org.jspecify.annotations.Nullable;
@@ -10,6 +11,7 @@
 final class InboundState {
     private final Connection<?> connection;
     private final Supplier<InboundLimits> limits;
+    private final AtomicLong unsent = new AtomicLong();
     private @Nullable GrizzlyInboundRequest current;
     private boolean headStarted;
     private boolean readingStopped;
@@ -54,6 +56,11 @@
         idleSinceNanos = System.nanoTime();
     }
 
+    /** Returns the number of response bytes that are queued but not yet written to the socket. */
+    AtomicLong unsent() {
+        return unsent;
+    }
+
     void closeIfTimedOut(long nowNanos) {
         GrizzlyInboundRequest request = current;
         boolean awaitsInput = request == null || !request.isComplete();
