Stop listening and close idle connections at the end of a planned stop

The daemon now closes its listening sockets first, then the connections without a request half-way, on the thread that reads them, and gives requests that are still arriving up to 0.5 s to be refused. A connection that the operating system has accepted and the daemon has not is still reset; nothing was read from it.

--- a/entry/src/main/java/io/hornbeamfield/entry/EntryProcess.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/EntryProcess.java
@@ -39,6 +39,9 @@
 public final class EntryProcess implements AutoCloseable {
     private static final long SHUTDOWN_POLL_MS = 20;
 
+    /** Time for requests that are still arriving when the process stops listening. */
+    private static final long LAST_REQUESTS_MS = 500;
+
     /** A change of the file without a signal takes effect within seconds. */
     private static final long SETTINGS_POLL_MS = 2_000;
 
@@ -226,12 +229,24 @@
         control.returnTokens(() -> returned.complete(null));
         timers.after(leftMs(startedMs), () -> returned.complete(null));
         returned.thenRun(() -> {
+            transport.stopListening();
+            long limitMs = Math.min(LAST_REQUESTS_MS, leftMs(startedMs));
+            closeConnections(startedMs, clock.millis() + limitMs, stopped);
+        });
+    }
+
+    private void closeConnections(long startedMs, long untilMs, CompletableFuture<Void> stopped) {
+        transport.closeIdle();
+        if (transport.inboundConnections() == 0 || clock.millis() >= untilMs) {
             log.event("stopped")
                     .field("openRequests", traffic.openRequests())
+                    .field("connections", transport.inboundConnections())
                     .field("ms", clock.millis() - startedMs)
                     .write();
             stopped.complete(null);
-        });
+        } else {
+            timers.after(SHUTDOWN_POLL_MS, () -> closeConnections(startedMs, untilMs, stopped));
+        }
     }
 
     /** Stops immediately, without draining requests. */
--- a/entry/src/test/java/io/hornbeamfield/entry/GracePeriodTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/GracePeriodTest.java
@@ -310,4 +310,27 @@
         }
     }
 
+    /** Guards against resets that callers saw up to 0.3 s after the end of a stop. */
+    @Test
+    void aRequestThatIsArrivingWhenTheStopEndsIsRefusedAndIdleConnectionsAreClosed() throws IOException {
+        fleet.runner("i-1", "plain");
+        EntryProcess entry = start(GRACE_MS);
+        try (KeptCaller idle = KeptCaller.connect(fleet.address(0));
+                KeptCaller unused = KeptCaller.connect(fleet.address(0));
+                KeptCaller arriving = KeptCaller.connect(fleet.address(0))) {
+            call(idle, "/write/x", "w1");
+            String request = KeptCaller.request("/write/x", "w2");
+            Thread ending = new Thread(() -> end(entry));
+            ending.start();
+            arriving.send(request.substring(0, request.length() - 2));
+            sleep(REFUSE_MS + 250);
+            arriving.send(request.substring(request.length() - 2));
+            assertThat(arriving.readAnswer()).startsWith(NOT_RUN).contains("Retry-After: ", "\"ran\":\"no\"");
+            assertThat(idle.read()).isEqualTo(-1);
+            assertThat(unused.read()).isEqualTo(-1);
+            ending.join(GRACE_MS);
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
 }
--- a/net/src/main/java/io/hornbeamfield/net/relay/RelayTransport.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/RelayTransport.java
@@ -34,6 +34,12 @@
     /** Returns the number of response bytes that are queued but not yet written to the sockets of clients. */
     long unsentBytes();
 
+    /** Closes the listening sockets; open connections are not affected. */
+    void stopListening();
+
+    /** Closes the client connections on which no part of a request and no unsent part of a response is present. */
+    void closeIdle();
+
     @Override
     void close();
 }
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyRelayTransport.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyRelayTransport.java
@@ -9,6 +9,8 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Supplier;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
@@ -28,6 +30,7 @@
     private final TCPNIOTransport transport;
     private final Serial serial;
     private final InboundConnections inbound = new InboundConnections();
+    private final List<Connection<?>> listening = new CopyOnWriteArrayList<>();
     private final FilterChain clientChain;
 
     private GrizzlyRelayTransport(TCPNIOTransport transport, Serial serial) {
@@ -76,6 +79,7 @@
                     .processor(chain)
                     .build()
                     .bind(bindAddress, ACCEPT_BACKLOG);
+            listening.add(server);
             return ((InetSocketAddress) server.getLocalAddress()).getPort();
         } catch (IOException e) {
             throw new UncheckedIOException("Cannot listen on " + address + ". Check that the address is free.", e);
@@ -123,6 +127,17 @@
         return inbound.unsentBytes();
     }
 
+    @Override
+    public void stopListening() {
+        listening.forEach(Connection::closeSilently);
+        listening.clear();
+    }
+
+    @Override
+    public void closeIdle() {
+        inbound.closeIdle(serial);
+    }
+
     @Override
     public void close() {
         try {
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundState.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundState.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.IOEvent;
 import org.jspecify.annotations.Nullable;
 
 /** State of a client connection: the request in progress and the times from which the header and idle timeouts run. */
@@ -61,6 +62,16 @@
         return unsent;
     }
 
+    void inReadingThread(Runnable action) {
+        connection.executeInEventThread(IOEvent.READ, action);
+    }
+
+    void closeIfIdle() {
+        if (current == null && !headStarted && unsent.get() == 0) {
+            connection.closeSilently();
+        }
+    }
+
     void closeIfTimedOut(long nowNanos) {
         GrizzlyInboundRequest request = current;
         boolean awaitsInput = request == null || !request.isComplete();
