Handle signals from the first statement of the entry daemon

ProcessSignals registers them first, SIGINT too, and keeps what arrives until the daemon serves; a stop that is asked for before it listens ends the process with status 0.

Before, on: StoppedProcessTest.aReloadSignalDuringTheStartDoesNotEndTheProcess fails (the process is gone), aStopSignalDuringTheStartEndsTheProcessWithoutAnyRequest fails (status 143). Both hold the start at the settings file, a pipe.

--- a/entry/src/main/java/io/hornbeamfield/entry/Main.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/Main.java
@@ -9,7 +9,6 @@
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
-import sun.misc.Signal;
 
 /** Command line of the entry daemon: {@code hornbeamfield-entry --settings FILE}. SIGTERM shuts it down gracefully. */
 public final class Main {
@@ -25,6 +24,7 @@
 
     /** Starts the daemon and serves until SIGTERM. */
     public static void main(String[] args) throws InterruptedException {
+        ProcessSignals signals = ProcessSignals.install();
         ArgumentParser parser = ArgumentParsers.newFor("hornbeamfield-entry")
                 .build()
                 .description("Relays callers' requests to backend servers.");
@@ -52,23 +52,25 @@
         if (settings instanceof Result.Refused<EntrySettings> refused) {
             System.err.println(refused.refusal().detail());
             System.exit(EXIT_INVALID_INPUT);
-        } else if (settings instanceof Result.Ok<EntrySettings> ok && !options.getBoolean("check")) {
-            serve(Path.of(file), ok.value());
+        } else if (settings instanceof Result.Ok<EntrySettings> ok
+                && !options.getBoolean("check")
+                && !signals.stopPending()) {
+            serve(Path.of(file), ok.value(), signals);
         }
     }
 
-    private static void serve(Path file, EntrySettings settings) throws InterruptedException {
+    private static void serve(Path file, EntrySettings settings, ProcessSignals signals) throws InterruptedException {
         StdoutEventLog log = StdoutEventLog.start(MonotonicClock.start());
         EventLogHandler.install(log);
         EntryProcess entry = EntryProcess.start(file, settings, log);
         CountDownLatch stopped = new CountDownLatch(1);
-        Signal.handle(new Signal("TERM"), s -> {
-            log.event("signal").field("name", "TERM").write();
-            entry.shutDown().whenComplete((ignored, failure) -> stopped.countDown());
-        });
-        Signal.handle(new Signal("HUP"), s -> {
-            log.event("signal").field("name", "HUP").write();
-            entry.reloadSettings();
+        signals.forwardTo(name -> {
+            log.event("signal").field("name", name).write();
+            if (ProcessSignals.asksToStop(name)) {
+                entry.shutDown().whenComplete((ignored, failure) -> stopped.countDown());
+            } else {
+                entry.reloadSettings();
+            }
         });
         entry.reloadSettings();
         stopped.await();
--- a/entry/src/test/java/io/hornbeamfield/entry/StoppedProcessTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/StoppedProcessTest.java
@@ -9,9 +9,12 @@
 import io.hornbeamfield.standins.FreePorts;
 import java.io.File;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -223,4 +226,33 @@
         }
     }
 
+    /** Starts a process that waits for its settings, and runs an action until they arrive. */
+    private void startAndSignal(String name) throws IOException, InterruptedException {
+        Path file = settings;
+        assertThat(new ProcessBuilder("mkfifo", file.toString()).start().waitFor())
+                .isZero();
+        start();
+        byte[] content = settings(GRACE_MS / 1_000.0).getBytes(StandardCharsets.UTF_8);
+        // Opening the pipe returns when the process opens it to read its settings.
+        try (OutputStream pipe = Files.newOutputStream(file)) {
+            signal(name);
+            Path regular = Files.write(directory.resolve("regular.json"), content);
+            Files.move(regular, file, StandardCopyOption.REPLACE_EXISTING);
+            Thread.sleep(300);
+            pipe.write(content);
+        }
+    }
+
+    @Test
+    void aReloadSignalDuringTheStartDoesNotEndTheProcess() throws IOException, InterruptedException {
+        startAndSignal("HUP");
+        awaitReady();
+    }
+
+    @Test
+    void aStopSignalDuringTheStartEndsTheProcessWithoutAnyRequest() throws IOException, InterruptedException {
+        startAndSignal("TERM");
+        assertThat(process.waitFor(GRACE_MS, TimeUnit.MILLISECONDS)).isTrue();
+        assertThat(process.exitValue()).isZero();
+    }
 }
