--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyInboundRequest.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyInboundRequest.java
@@ -42,7 +42,7 @@
     private boolean delimitedByClose;
 
     private volatile boolean ended;
-    private final AtomicLong unsent = new AtomicLong();
+    private final AtomicLong unsent;
     private @Nullable Runnable disconnectAction;
 
     GrizzlyInboundRequest(Connection<?> connection, HttpRequestPacket head, InboundState state, BufferPool input) {
@@ -50,6 +50,7 @@
         this.head = head;
         this.state = state;
         this.input = input;
+        this.unsent = state.unsent();
         this.method = head.getMethod().getMethodString();
         this.path = head.getRequestURI();
         String q = head.getQueryString();
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundState.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundState.java
@@ -2,14 +2,17 @@
 
 import io.hornbeamfield.net.relay.InboundLimits;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.IOEvent;
 import org.jspecify.annotations.Nullable;
 
 /** State of a client connection: the request in progress and the times from which the header and idle timeouts run. */
 final class InboundState {
     private final Connection<?> connection;
     private final Supplier<InboundLimits> limits;
+    private final AtomicLong unsent = new AtomicLong();
     private @Nullable GrizzlyInboundRequest current;
     private boolean headStarted;
     private boolean readingStopped;
@@ -54,6 +57,21 @@
         idleSinceNanos = System.nanoTime();
     }
 
+    /** Returns the number of response bytes that are queued but not yet written to the socket. */
+    AtomicLong unsent() {
+        return unsent;
+    }
+
+    void inReadingThread(Runnable action) {
+        connection.executeInEventThread(IOEvent.READ, action);
+    }
+
+    void closeIfIdle() {
+        if (current == null && !headStarted && unsent.get() == 0) {
+            connection.closeSilently();
+        }
+    }
+
     void closeIfTimedOut(long nowNanos) {
         GrizzlyInboundRequest request = current;
         boolean awaitsInput = request == null || !request.isComplete();
