Treat a response with contradictory lengths as broken

Callers of a plain service got an answer that was cut to the first of two lengths, or to a length beside an encoding other than chunks, with a length of its own, so that nothing told them. Not seen at a caller; found by the test.

Cause: Grizzly's client codec uses the first of several lengths, a length although an encoding takes precedence, and any encoding that begins with "chunked" as chunks.

Fix: BodyFraming judges the fields of the head when it arrives. A response without one certain end is broken, which repeats repeatable calls and leaves the outcome of others unknown.

--- a/net/src/main/java/io/hornbeamfield/net/http/internal/Exchange.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/Exchange.java
@@ -85,10 +85,17 @@
         }
     }
 
-    synchronized void head(int status, Map<String, String> headers) {
-        if (!done && !headArrived) {
-            headArrived = true;
-            listener.onHead(status, headers);
+    void head(int status, Map<String, String> headers, BodyFraming bodyFraming) {
+        if (bodyFraming == BodyFraming.UNCERTAIN) {
+            fail(new CallFailure(
+                    CallFailure.Kind.BROKEN, "The response has several lengths or an encoding other than chunks."));
+            return;
+        }
+        synchronized (this) {
+            if (!done && !headArrived) {
+                headArrived = true;
+                listener.onHead(status, headers);
+            }
         }
     }
 
--- a/net/src/main/java/io/hornbeamfield/net/http/internal/ResponseFilter.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/ResponseFilter.java
@@ -26,7 +26,7 @@
                 return ctx.getStopAction();
             }
             if (!exchange.headArrived()) {
-                exchange.head(head.getStatus(), headers(head));
+                exchange.head(head.getStatus(), headers(head), BodyFraming.of(head));
             }
             forwardBody(exchange, content.getContent());
             if (content.isLast()) {
