Deliver a service's answer that ends with its connection

Callers of a service that answers with neither a length nor chunks never got its answer: repeatable calls ran four times and ended with BACKEND_FAILED, others ran once and ended with OUTCOME_UNKNOWN. Not seen at a caller; found by the test.

Cause: the HTTP client took every close for a break, because Grizzly reports a reset like an orderly close.

Calls to services allow that a body ends with its connection: it is complete after an orderly close, and if it is not empty. All other calls refuse such a body as before.

--- a/net/src/main/java/io/hornbeamfield/net/http/HttpCall.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/HttpCall.java
@@ -19,8 +19,17 @@
  *
  * <p>The timeout (10 s by default) covers the time until the response head arrives or, for {@link HttpClient#send},
  * until the whole body has arrived.
+ *
+ * <p>A response body with neither a length nor chunks counts as broken, unless the call allows that its body ends with
+ * the connection.
  */
-public record HttpCall(String method, URI uri, Map<String, String> headers, byte[] body, Duration timeout) {
+public record HttpCall(
+        String method,
+        URI uri,
+        Map<String, String> headers,
+        byte[] body,
+        Duration timeout,
+        boolean bodyMayEndWithConnection) {
     private static final Duration DEFAULT_TIMEOUT = Duration.ofSeconds(10);
 
     /** Starts a GET request. */
@@ -55,6 +64,7 @@
         private final Map<String, String> headers = new LinkedHashMap<>();
         private byte[] body = new byte[0];
         private Duration timeout = DEFAULT_TIMEOUT;
+        private boolean bodyMayEndWithConnection;
 
         private Builder(String method, String uri) {
             this.method = method;
@@ -94,9 +104,18 @@
             return this;
         }
 
+        /**
+         * Accepts a body with neither a length nor chunks as complete if the server closes the connection in order. It
+         * is broken after a reset, or if it is empty, since a server that stopped after the head leaves the same bytes.
+         */
+        public Builder bodyMayEndWithConnection() {
+            this.bodyMayEndWithConnection = true;
+            return this;
+        }
+
         /** Returns the finished request. */
         public HttpCall build() {
-            return new HttpCall(method, uri, Map.copyOf(headers), body, timeout);
+            return new HttpCall(method, uri, Map.copyOf(headers), body, timeout, bodyMayEndWithConnection);
         }
     }
 }
--- a/net/src/main/java/io/hornbeamfield/net/http/internal/Exchange.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/Exchange.java
@@ -3,6 +3,7 @@
 import io.hornbeamfield.net.http.CallFailure;
 import io.hornbeamfield.net.http.HttpCall;
 import io.hornbeamfield.net.http.StreamListener;
+import java.io.EOFException;
 import java.net.InetSocketAddress;
 import java.util.Map;
 import org.glassfish.grizzly.Buffer;
@@ -30,6 +31,8 @@
     private @Nullable Connection<?> connection;
     private int interimHeads;
     private boolean headArrived;
+    private boolean dataArrived;
+    private boolean endsWithConnection;
     private boolean done;
 
     Exchange(HttpCall call, StreamListener listener, ConnectionCache connections) {
@@ -94,6 +97,7 @@
         synchronized (this) {
             if (!done && !headArrived) {
                 headArrived = true;
+                endsWithConnection = call.bodyMayEndWithConnection() && bodyFraming == BodyFraming.CONNECTION;
                 listener.onHead(status, headers);
             }
         }
@@ -101,6 +105,7 @@
 
     synchronized void data(byte[] chunk) {
         if (!done) {
+            dataArrived = true;
             listener.onData(chunk);
         }
     }
@@ -182,8 +187,21 @@
 
     @Override
     public void onClosed(Closeable closeable, ICloseType type) {
+        if (isCompleteAtClose()) {
+            end(false);
+            return;
+        }
         fail(new CallFailure(
                 CallFailure.Kind.BROKEN,
                 "The connection to " + call.uri().getAuthority() + " closed before the response was complete."));
     }
+
+    /** A connection that is reset, or fails in another way, may have lost a part of the body. */
+    private synchronized boolean isCompleteAtClose() {
+        Connection<?> c = connection;
+        return endsWithConnection
+                && dataArrived
+                && c != null
+                && c.getCloseReason().getCause() instanceof EOFException;
+    }
 }
--- a/net/src/main/java/io/hornbeamfield/net/http/internal/GrizzlyHttpClient.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/GrizzlyHttpClient.java
@@ -14,7 +14,6 @@
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
-import org.glassfish.grizzly.filterchain.TransportFilter;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
 import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
@@ -42,7 +41,7 @@
                 .setTcpNoDelay(true)
                 .build();
         transport.setProcessor(FilterChainBuilder.stateless()
-                .add(new TransportFilter())
+                .add(new ReadFilter())
                 .add(new ResponseCodec())
                 .add(new ResponseFilter())
                 .build());
--- a/net/src/test/java/io/hornbeamfield/net/http/ResponseEndTest.java
+++ b/net/src/test/java/io/hornbeamfield/net/http/ResponseEndTest.java
@@ -12,12 +12,13 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Guards against a response that ends early and counts as whole. */
+/** Guards against a response that ends early and counts as whole, and against a whole one that counts as broken. */
 final class ResponseEndTest {
     private static final String OK = "HTTP/1.1 200 OK~";
     private static final String LENGTH = OK + "Content-Length: 10~~";
@@ -127,6 +128,14 @@
         assertBroken(call());
     }
 
+    @ParameterizedTest(name = "\"{0}\", reset {1}")
+    @MethodSource("cutResponsesAndEnds")
+    void aCutResponseIsBrokenWhereABodyMayEndWithItsConnection(String cut, boolean reset) {
+        response = cut;
+        resets = reset;
+        assertBroken(call().bodyMayEndWithConnection());
+    }
+
     /** The length of such a body is not certain, so that a part of it could count as the whole. */
     @ParameterizedTest(name = "{0}")
     @ValueSource(
@@ -150,7 +159,7 @@
             })
     void aResponseWithoutACertainLengthIsBroken(String fields) {
         response = OK + fields + "~a~0123456789~0~~";
-        assertBroken(call());
+        assertBroken(call().bodyMayEndWithConnection());
     }
 
     @ParameterizedTest(name = "\"{0}\"")
@@ -168,4 +177,31 @@
         response = whole;
         assertThat(reply(call()).text()).isEqualTo("0123456789");
     }
+
+    @ParameterizedTest(name = "{0}")
+    @ValueSource(strings = {OK + "~", OK + "Connection: close~~", "HTTP/1.0 200 OK~Content-Type: text/plain~~"})
+    void aBodyThatEndsWithItsConnectionIsCompleteOnlyWhereThatIsAllowed(String head) {
+        response = head + "0123456789";
+        assertThat(reply(call().bodyMayEndWithConnection()).text()).isEqualTo("0123456789");
+    }
+
+    @Test
+    void aBodyThatEndsWithItsConnectionIsBrokenElsewhere() {
+        response = OK + "~0123456789";
+        assertBroken(call());
+    }
+
+    @Test
+    void aBodyThatEndsWithAResetIsBroken() {
+        response = OK + "~0123456789";
+        resets = true;
+        assertBroken(call().bodyMayEndWithConnection());
+    }
+
+    /** A server that stopped after the head would leave the same bytes. */
+    @Test
+    void anEmptyBodyThatEndsWithItsConnectionIsBroken() {
+        response = OK + "~";
+        assertBroken(call().bodyMayEndWithConnection());
+    }
 }
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/ServiceAttempt.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/ServiceAttempt.java
@@ -47,6 +47,7 @@
                 // "not sent" from "outcome unknown".
                 .header("Connection", "close")
                 .body(work.body())
+                .bodyMayEndWithConnection()
                 .timeout(timeout);
         client.send(call.build()).whenCompleteAsync(this::callEnded, executor);
     }
