--- a/router/src/test/java/io/hornbeamfield/router/traffic/TestRouter.java
+++ b/router/src/test/java/io/hornbeamfield/router/traffic/TestRouter.java
@@ -45,8 +45,13 @@
     final Traffic traffic;
 
     TestRouter(String incarnation) {
+        this(incarnation, PRESET);
+    }
+
+    /** Creates a router whose first preset sets its queue limits, which later ones change with a delay. */
+    TestRouter(String incarnation, Preset first) {
         this.incarnation = incarnation;
-        publish(PRESET);
+        publish(first);
         traffic = Traffic.start(new TrafficDependencies(
                 incarnation,
                 "127.0.0.1:0",
