Keep a begun answer begun after another run has started

A caller of the client library that had been given text, and then the start of another run, could be told "not run", or its request was sent under a new key, after an error event as not run in front of that run's first part. Routers send no such answer; found by the test.

Cause: AnswerText forgot that a part had arrived when it discarded the text of the first run.

Evidence: StreamResumeTest.anAnswerThatStartedAgainIsNeverTakenForNotRun failed with two keys before the fix.

--- a/client/src/main/java/io/hornbeamfield/client/internal/AnswerText.java
+++ b/client/src/main/java/io/hornbeamfield/client/internal/AnswerText.java
@@ -14,6 +14,7 @@
     private final StringBuilder text = new StringBuilder();
     private Optional<String> runId = Optional.empty();
     private long nextOffset;
+    private boolean begun;
 
     AnswerText(AnswerListener listener) {
         this.listener = listener;
@@ -23,6 +24,11 @@
         return nextOffset;
     }
 
+    /** Returns whether a part of any run has arrived, even if its text was discarded. */
+    boolean begun() {
+        return begun;
+    }
+
     Optional<String> runId() {
         return runId;
     }
@@ -45,6 +51,7 @@
         }
         if (offset == nextOffset) {
             nextOffset++;
+            begun = true;
             text.append(content);
             listener.text(offset, content);
         }
--- a/client/src/main/java/io/hornbeamfield/client/internal/ChatSender.java
+++ b/client/src/main/java/io/hornbeamfield/client/internal/ChatSender.java
@@ -54,7 +54,7 @@
 
     @Override
     public boolean answerBegun() {
-        return text.nextOffset() > 0;
+        return text.begun();
     }
 
     @Override
--- a/client/src/test/java/io/hornbeamfield/client/StreamResumeTest.java
+++ b/client/src/test/java/io/hornbeamfield/client/StreamResumeTest.java
@@ -164,4 +164,18 @@
         assertThat(keys).hasSize(4).containsOnly(first.keys.get(0));
         assertThat(received).hasToString("w0 w1 ");
     }
+
+    /** Guards against "not run" after the text of the first run was discarded for that of another one. */
+    @Test
+    void anAnswerThatStartedAgainIsNeverTakenForNotRun() {
+        first.script.add(FakeRouter.serve("r1", "w", 0, 2, false));
+        second.script.add(x -> {
+            var s = x.startStream(200, Map.of("Content-Type", "text/event-stream", "Hornbeamfield-Run", "r2"));
+            s.write("event: error\ndata: {\"code\":3001,\"detail\":\"busy\"}\n\n"
+                    .getBytes(java.nio.charset.StandardCharsets.UTF_8));
+            s.end();
+        });
+        assertThat(text(chat())).isEqualTo("w0 w1 w2 w3 ");
+        assertThat(first.keys).hasSize(2).containsOnly(second.keys.get(0));
+    }
 }
