--- a/net/src/main/java/io/hornbeamfield/net/http/ResponseStream.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/ResponseStream.java
@@ -1,6 +1,6 @@
 package io.hornbeamfield.net.http;
 
-/** A response body that is sent in parts (chunked transfer encoding). */
+/** A response body that is sent in parts: in chunks or, to a caller of HTTP/1.0, until the connection closes. */
 public interface ResponseStream {
     /** Sends a part. Returns false if the caller has disconnected or the stream has ended. */
     boolean write(byte[] part);
