--- a/client/src/main/java/io/hornbeamfield/client/internal/AnswerText.java
+++ b/client/src/main/java/io/hornbeamfield/client/internal/AnswerText.java
@@ -26,6 +26,7 @@
     private Optional<String> runId = Optional.empty();
     private long nextOffset;
     private boolean excessive;
+    private boolean begun;
 
     AnswerText(AnswerListener listener, long maxTokens) {
         this.listener = listener;
@@ -41,6 +42,11 @@
         return nextOffset;
     }
 
+    /** Returns whether a part of any run has arrived, even if its text was discarded. */
+    boolean begun() {
+        return begun;
+    }
+
     Optional<String> runId() {
         return runId;
     }
@@ -70,6 +76,7 @@
         }
         if (offset == nextOffset && !excessive) {
             nextOffset++;
+            begun = true;
             text.append(content);
             listener.text(offset, content);
         }
