Send nothing to servers that say that they are leaving or want a pause

Cause: the pages' headers Server-Leaving (in any answer) and Retry-After (in a server's 503) were not read, so that a server got requests after it had said that it leaves, while its registration still said ready, or during the pause that it had asked for.

Change: platform.ServerNotice decodes both; core.placement.ServerNotices keeps them for each incarnation of a server, bounded in number and time. Servers that leave are not candidates; a paused one counts like one whose announced rate is used up, so that requests go elsewhere, wait for up to half of their objective, or are refused at once. The refusal names the end of the earliest pause, and the returns after it are spread. The connection pool checks again when a connection is ready, and tells the policy whether the server was tried at all in place of matching a text. A repeat is only considered if a further server takes it in time.

--- a/core/src/main/java/io/hornbeamfield/core/admission/RefusalBackoff.java
+++ b/core/src/main/java/io/hornbeamfield/core/admission/RefusalBackoff.java
@@ -12,7 +12,7 @@
  * to last as long again, so the delay grows with it, and callers that were refused together return spread over time.
  *
  * <pre>{@code
- * long delayMs = backoff.delayMs(remainingMs, random);
+ * long delayMs = backoff.delayMs(remainingMs, 0, random);
  * }</pre>
  */
 public final class RefusalBackoff {
@@ -40,8 +40,9 @@
      * Records a refusal and returns the delay after which its caller should return, in milliseconds.
      *
      * @param remainingMs time until the deadline of the request
+     * @param earliestMs time until a server takes requests again, 0 if one takes them now or it is not known
      */
-    public long delayMs(long remainingMs, RandomGenerator random) {
+    public long delayMs(long remainingMs, long earliestMs, RandomGenerator random) {
         long now = clock.millis();
         if (now - lastRefusalMs > OVERLOAD_GAP_MS) {
             overloadStartedMs = now;
@@ -50,6 +51,8 @@
         long expectedMs = Math.max(MIN_DELAY_MS, now - overloadStartedMs);
         long limitMs = Math.max(1, remainingMs / SHARE_OF_REMAINING);
         double spread = 1 - JITTER * random.nextDouble();
-        return Math.max(1, (long) (Math.min(expectedMs / (1 - JITTER), limitMs) * spread));
+        long delayMs = Math.max(1, (long) (Math.min(expectedMs / (1 - JITTER), limitMs) * spread));
+        // The servers' own time is not shortened, and the returns after it are spread by the delay.
+        return earliestMs + delayMs;
     }
 }
--- a/core/src/test/java/io/hornbeamfield/core/admission/RefusalBackoffTest.java
+++ b/core/src/test/java/io/hornbeamfield/core/admission/RefusalBackoffTest.java
@@ -6,8 +6,10 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.HashSet;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.LongUnaryOperator;
 import org.junit.jupiter.api.Test;
 
@@ -62,21 +64,21 @@
     void moreCallersAreServedAfterABurstThanWithAFixedDelay() {
         RefusalBackoff backoff = new RefusalBackoff(clock);
         double fixed = servedShare(left -> 250);
-        double growing = servedShare(left -> backoff.delayMs(left, random));
+        double growing = servedShare(left -> backoff.delayMs(left, 0, random));
         assertThat(growing).isGreaterThan(fixed + 0.05);
     }
 
     @Test
     void theDelayGrowsWithTheOverloadAndStartsAnewAfterIt() {
         RefusalBackoff backoff = new RefusalBackoff(clock);
-        assertThat(backoff.delayMs(60_000, random)).isBetween(250L, 500L);
+        assertThat(backoff.delayMs(60_000, 0, random)).isBetween(250L, 500L);
         for (int i = 0; i < 20; i++) {
             clock.advance(Duration.ofMillis(100));
-            backoff.delayMs(60_000, random);
+            backoff.delayMs(60_000, 0, random);
         }
-        assertThat(backoff.delayMs(60_000, random)).isBetween(2_000L, 4_000L);
+        assertThat(backoff.delayMs(60_000, 0, random)).isBetween(2_000L, 4_000L);
         clock.advance(Duration.ofSeconds(1));
-        assertThat(backoff.delayMs(60_000, random)).isBetween(250L, 500L);
+        assertThat(backoff.delayMs(60_000, 0, random)).isBetween(250L, 500L);
     }
 
     @Test
@@ -84,7 +86,19 @@
         RefusalBackoff backoff = new RefusalBackoff(clock);
         for (int i = 0; i < 100; i++) {
             clock.advance(Duration.ofMillis(100));
-            assertThat(backoff.delayMs(900, random)).isBetween(1L, 300L);
+            assertThat(backoff.delayMs(900, 0, random)).isBetween(1L, 300L);
         }
     }
+
+    @Test
+    void callersReturnSpreadOverTimeAfterThePauseOfTheServers() {
+        RefusalBackoff backoff = new RefusalBackoff(clock);
+        Set<Long> delays = new HashSet<>();
+        for (int i = 0; i < 100; i++) {
+            long delayMs = backoff.delayMs(9_000, 2_000, random);
+            assertThat(delayMs).isBetween(2_250L, 2_500L);
+            delays.add(delayMs);
+        }
+        assertThat(delays).hasSizeGreaterThan(50);
+    }
 }
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/Attempt.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/Attempt.java
@@ -3,10 +3,12 @@
 import io.hornbeamfield.core.attempt.AnswerMatch;
 import io.hornbeamfield.core.attempt.AttemptOutcome;
 import io.hornbeamfield.core.attempt.InputAllowance;
+import io.hornbeamfield.core.discovery.BackendServer;
 import io.hornbeamfield.net.relay.Header;
 import io.hornbeamfield.net.relay.OutboundConnection;
 import io.hornbeamfield.net.relay.OutboundListener;
 import io.hornbeamfield.net.relay.OutboundRequest;
+import io.hornbeamfield.platform.ServerNotice;
 import io.hornbeamfield.platform.ServerRate;
 import io.hornbeamfield.platform.Wire;
 import java.io.ByteArrayOutputStream;
@@ -35,9 +37,11 @@
     private final Listener listener;
     private final InputAllowance bodyAllowance = new InputAllowance(MAX_BUFFERED_BYTES, BODY_PART_COST_BYTES);
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private BackendServer server;
     private @Nullable OutboundConnection connection;
     private boolean reused;
     private boolean sent;
+    private boolean withheld;
     private boolean done;
     private boolean promptRead;
     private boolean streaming;
@@ -81,6 +85,7 @@
             Supplier<OutboundRequest> request,
             Listener listener) {
         this.pool = pool;
+        this.server = pool.server();
         this.attemptId = attemptId;
         this.promptTokens = promptTokens;
         this.stallTimeoutMs = stallTimeoutMs;
@@ -101,6 +106,11 @@
         return sent;
     }
 
+    /** Returns whether this instance did not try to reach the server, so that the server is not at fault. */
+    boolean isWithheld() {
+        return withheld;
+    }
+
     int status() {
         return status;
     }
@@ -128,6 +138,13 @@
             pool.discard(c);
             return;
         }
+        if (pool.isClosedToRequests()) {
+            withheld = true;
+            pool.discard(c);
+            end(AttemptOutcome.NOT_CONNECTED, "the server takes no new requests");
+            return;
+        }
+        server = pool.server();
         connection = c;
         reused = connectionReused;
         sent = true;
@@ -136,7 +153,8 @@
     }
 
     @Override
-    public void onUnavailable(String reason) {
+    public void onUnavailable(String reason, boolean tried) {
+        withheld = !tried;
         end(AttemptOutcome.NOT_CONNECTED, reason);
     }
 
@@ -146,6 +164,7 @@
         status = answerStatus;
         headers = answerHeaders;
         pool.recordRate(ServerRate.of(answerHeaders));
+        pool.recordNotice(server, ServerNotice.of(answerStatus, answerHeaders));
         String answeredId = Header.find(answerHeaders, Wire.ATTEMPT_ID).orElse("");
         boolean signed = Header.find(answerHeaders, Wire.SIGNATURE).isPresent();
         boolean refused = Header.find(answerHeaders, Wire.NOT_RUN).isPresent() || answerStatus == Wire.WRONG_SERVER;
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/RefusalBackoffs.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/RefusalBackoffs.java
@@ -15,9 +15,13 @@
         this.clock = clock;
     }
 
-    /** Records that a request was refused for lack of a server and returns the delay for its caller. */
-    long delayMs(String service, long remainingMs) {
+    /**
+     * Records that a request was refused for lack of a server and returns the delay for its caller.
+     *
+     * @param earliestMs time until a server takes requests again, 0 if one takes them now or it is not known
+     */
+    long delayMs(String service, long remainingMs, long earliestMs) {
         return backoffs.computeIfAbsent(service, s -> new RefusalBackoff(clock))
-                .delayMs(remainingMs, ThreadLocalRandom.current());
+                .delayMs(remainingMs, earliestMs, ThreadLocalRandom.current());
     }
 }
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
@@ -52,7 +52,7 @@
     private final RequestLog log;
     private final RequestTimers timers;
     private @Nullable Attempt attempt;
-    private long rateWaitLeftMs;
+    private long serverWaitLeftMs;
     private int possibleRuns;
     private int attempts;
     private boolean done;
@@ -75,7 +75,7 @@
         this.workspace = workspace;
         this.arrivedMs = context.clock().millis();
         this.deadlineMs = arrivedMs + Math.min(head.timeLeftMs().orElse(Long.MAX_VALUE), route.maxDurationMs());
-        this.rateWaitLeftMs = route.objectiveMs() / 2;
+        this.serverWaitLeftMs = route.objectiveMs() / 2;
         this.onDone = onDone;
         this.timers = new RequestTimers(context.timers());
         this.tokens = new TokenReservation(context, head, workspace, this);
@@ -275,7 +275,7 @@
 
     private AttemptState state(int runs, boolean retryAllowed) {
         boolean maySend = context.blackboard().shutdownStage().allowsSending(true);
-        boolean timeLeft = maySend && remainingMs() > MIN_ATTEMPT_MS && servers.hasUntried();
+        boolean timeLeft = maySend && remainingMs() > MIN_ATTEMPT_MS && servers.hasUntried(serverWaitLeftMs);
         RetryPolicy policy = stream.retryPolicy(route.retryPolicy());
         return new AttemptState(policy, runs, route.maxAttempts(), stream.started(), timeLeft, retryAllowed);
     }
@@ -303,8 +303,8 @@
 
     private void onNoServer() {
         long waitMs = servers.delayMs().orElse(Long.MAX_VALUE);
-        if (waitMs <= rateWaitLeftMs) {
-            rateWaitLeftMs -= waitMs;
+        if (waitMs <= serverWaitLeftMs) {
+            serverWaitLeftMs -= waitMs;
             context.timers().after(waitMs, this::dispatch);
         } else if (stream.started()) {
             abortStream("no-server-to-resume");
@@ -316,7 +316,7 @@
     }
 
     private void refuseWithoutServer(String detail) {
-        refuse(ResultCode.NO_BACKEND, detail, context.refusals().delayMs(service, remainingMs()));
+        refuse(ResultCode.NO_BACKEND, detail, context.refusals().delayMs(service, remainingMs(), servers.earliestMs()));
     }
 
     private void refuse(ResultCode code, String detail, long retryAfterMs) {
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerConnectionPool.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerConnectionPool.java
@@ -2,6 +2,7 @@
 
 import io.hornbeamfield.core.discovery.BackendServer;
 import io.hornbeamfield.core.placement.EventInterval;
+import io.hornbeamfield.core.placement.ServerNotices;
 import io.hornbeamfield.core.placement.ServerRateShare;
 import io.hornbeamfield.core.placement.SilenceDetector;
 import io.hornbeamfield.entry.Blackboard;
@@ -10,6 +11,7 @@
 import io.hornbeamfield.net.relay.ConnectListener;
 import io.hornbeamfield.net.relay.OutboundConnection;
 import io.hornbeamfield.net.relay.RelayTransport;
+import io.hornbeamfield.platform.ServerNotice;
 import java.time.Clock;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -36,6 +38,7 @@
 
     private final Blackboard blackboard;
     private final EventLog log;
+    private final ServerNotices notices;
     private final ServerRateShare rate;
     private final Clock clock;
     private final Timers timers;
@@ -50,6 +53,7 @@
     private int outstanding;
     private long queuedPromptTokens;
     private boolean removed;
+    private boolean malformedPauseLogged;
 
     /** An idle connection, and since when it is idle. */
     private record Idle(OutboundConnection connection, long sinceMs) {}
@@ -58,7 +62,12 @@
     interface Listener {
         void onConnection(OutboundConnection connection, boolean reused);
 
-        void onUnavailable(String reason);
+        /**
+         * No connection is available.
+         *
+         * @param tried whether a connection was attempted; otherwise this instance has as many as it may
+         */
+        void onUnavailable(String reason, boolean tried);
     }
 
     ServerConnectionPool(
@@ -67,9 +76,11 @@
             RelayTransport transport,
             Blackboard blackboard,
             EventLog log,
+            ServerNotices notices,
             BackendServer server) {
         this.blackboard = blackboard;
         this.log = log;
+        this.notices = notices;
         this.rate = new ServerRateShare(clock);
         this.clock = clock;
         this.timers = timers;
@@ -97,9 +108,51 @@
         return connections;
     }
 
-    /** Returns this instance's share of the request rate that the server accepts. */
-    ServerRateShare rate() {
-        return rate;
+    /** Returns whether the server has said that it is leaving. */
+    boolean isLeaving() {
+        return notices.delayMs(server).isEmpty();
+    }
+
+    /** Returns the time for which the server has said that it wants no requests, 0 if it is over. */
+    long pauseMs() {
+        return notices.delayMs(server).orElse(0);
+    }
+
+    /** Returns the time until the server takes a request of this instance, 0 if it takes one now. */
+    long delayMs() {
+        return Math.max(rate.delayMs(), pauseMs());
+    }
+
+    /** Returns whether requests that have not been sent yet must go to another server. */
+    boolean isClosedToRequests() {
+        return isLeaving() || pauseMs() > 0;
+    }
+
+    /** Records what an answer of the server, or of an earlier incarnation of it, says about new requests. */
+    void recordNotice(BackendServer from, ServerNotice notice) {
+        if (notice.leaving() && notices.leaving(from)) {
+            logNotice("leaving", 0, "");
+        }
+        notice.pauseMs().ifPresent(ms -> {
+            if (notices.pauseRequested(from, ms)) {
+                logNotice("pause", pauseMs(), "");
+            }
+        });
+        notice.malformedPause().ifPresent(text -> {
+            if (!malformedPauseLogged) {
+                malformedPauseLogged = true;
+                logNotice("ignored", 0, text);
+            }
+        });
+    }
+
+    private void logNotice(String notice, long pauseMs, String malformed) {
+        log.event("server-notice")
+                .field("server", server.id())
+                .field("notice", notice)
+                .field("pauseMs", pauseMs)
+                .field("malformed", malformed)
+                .write();
     }
 
     /** Records the request rate that an answer of the server announces, empty if it announces none. */
@@ -186,7 +239,7 @@
             return;
         }
         if (connections >= maxConnections) {
-            listener.onUnavailable("all " + connections + " connections are in use");
+            listener.onUnavailable("all " + connections + " connections are in use", false);
             return;
         }
         connections++;
@@ -275,7 +328,7 @@
             if (!done) {
                 done = true;
                 connections--;
-                listener.onUnavailable(reason);
+                listener.onUnavailable(reason, true);
             }
         }
 
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerConnectionPools.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerConnectionPools.java
@@ -2,6 +2,7 @@
 
 import io.hornbeamfield.core.attempt.AttemptOutcome;
 import io.hornbeamfield.core.discovery.BackendServer;
+import io.hornbeamfield.core.placement.ServerNotices;
 import io.hornbeamfield.core.route.ServiceSpec;
 import io.hornbeamfield.entry.Blackboard;
 import io.hornbeamfield.entry.EventLog;
@@ -11,6 +12,7 @@
 import io.hornbeamfield.net.relay.OutboundListener;
 import io.hornbeamfield.net.relay.OutboundRequest;
 import io.hornbeamfield.net.relay.RelayTransport;
+import io.hornbeamfield.platform.ServerNotice;
 import io.hornbeamfield.platform.Wire;
 import java.time.Clock;
 import java.util.ArrayList;
@@ -41,6 +43,7 @@
     private final RelayTransport transport;
     private final Blackboard blackboard;
     private final EventLog log;
+    private final ServerNotices notices;
     private final Map<String, ServerConnectionPool> pools = new HashMap<>();
     private final Map<String, Integer> suspensionCounts = new HashMap<>();
     private final Set<String> suspended = new HashSet<>();
@@ -52,16 +55,17 @@
         this.transport = transport;
         this.blackboard = blackboard;
         this.log = log;
+        this.notices = new ServerNotices(clock);
     }
 
-    /** Returns the pools of the servers of a service that accept new requests and are not suspended. */
+    /** Returns the pools of the servers of a service that are not leaving and not suspended. */
     List<ServerConnectionPool> usable(String service) {
         List<ServerConnectionPool> usable = new ArrayList<>();
         for (BackendServer s : blackboard.servers(service)) {
             ServerConnectionPool pool = pools.computeIfAbsent(
-                    s.id(), id -> new ServerConnectionPool(clock, timers, transport, blackboard, log, s));
+                    s.id(), id -> new ServerConnectionPool(clock, timers, transport, blackboard, log, notices, s));
             pool.update(s);
-            if (!suspended.contains(s.id())) {
+            if (!suspended.contains(s.id()) && !pool.isLeaving()) {
                 usable.add(pool);
             }
         }
@@ -91,7 +95,7 @@
 
     private void scheduleCheck(ServerConnectionPool pool, String healthPath, int count) {
         long delay = Math.min(MAX_SUSPENSION_MS, INITIAL_SUSPENSION_MS << Math.min(count - 1, 4));
-        timers.after(delay, () -> check(pool, healthPath));
+        timers.after(Math.max(delay, pool.pauseMs()), () -> check(pool, healthPath));
     }
 
     private void check(ServerConnectionPool pool, String healthPath) {
@@ -156,7 +160,7 @@
      * another server.
      */
     void suspendIfUnusable(Attempt ended, AttemptOutcome end, String reason) {
-        boolean unreachable = end == AttemptOutcome.NOT_CONNECTED && !reason.contains("connections are in use");
+        boolean unreachable = end == AttemptOutcome.NOT_CONNECTED && !ended.isWithheld();
         boolean replaced = end == AttemptOutcome.DECLINED && ended.status() == Wire.WRONG_SERVER;
         if (unreachable || replaced || ended.isExcessive()) {
             suspend(ended.pool(), reason);
@@ -203,7 +207,7 @@
         }
 
         @Override
-        public void onUnavailable(String reason) {
+        public void onUnavailable(String reason, boolean tried) {
             finish(false, reason);
         }
 
@@ -213,6 +217,9 @@
             // The address of a terminated server may already belong to another one.
             boolean other =
                     !answeredBy.isEmpty() && !answeredBy.equals(pool.server().id());
+            if (!other) {
+                pool.recordNotice(pool.server(), ServerNotice.of(status, headers));
+            }
             finish(status == HTTP_OK && !other, other ? "answered by " + answeredBy : "status " + status);
         }
 
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerSelection.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerSelection.java
@@ -38,20 +38,28 @@
                 .toList();
     }
 
-    /** Returns whether there is a server that has not been selected, although it may limit its rate. */
-    boolean hasUntried() {
-        return !untried().isEmpty();
+    /** Returns whether a server that has not been selected takes a request within the given time. */
+    boolean hasUntried(long withinMs) {
+        return untried().stream().anyMatch(l -> l.delayMs() <= withinMs);
     }
 
     /** Returns the time until a server that has not been selected takes a request, empty if there is none. */
     OptionalLong delayMs() {
-        return untried().stream().mapToLong(l -> l.rate().delayMs()).min();
+        return untried().stream().mapToLong(ServerConnectionPool::delayMs).min();
+    }
+
+    /** Returns the time until any server takes a further request, 0 if none is known that will. */
+    long earliestMs() {
+        return context.pools().usable(service).stream()
+                .mapToLong(ServerConnectionPool::delayMs)
+                .min()
+                .orElse(0);
     }
 
     /** Selects a server that takes a request now and has not been selected before. */
     Optional<ServerConnectionPool> next() {
         List<ServerConnectionPool> usable =
-                untried().stream().filter(l -> l.rate().delayMs() == 0).toList();
+                untried().stream().filter(l -> l.delayMs() == 0).toList();
         List<Candidate> candidates = usable.stream()
                 .map(l -> new Candidate(
                         l.server().id(),
