Do not complete a reply that was given up for its size

When the replies of an HTTP client occupied too much, the largest was given up on another thread; if its end arrived before, the call got the status with a part of the body, as whole.

Cause: CollectingListener dropped further parts after its release, but onEnd completed the call with what had been kept.

Why it works: a released reply ends only with the failure that its release has queued.

--- a/net/src/main/java/io/hornbeamfield/net/http/internal/CollectingListener.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/CollectingListener.java
@@ -69,6 +69,9 @@
 
     @Override
     public void onEnd() {
+        if (released) {
+            return;
+        }
         future.complete(new HttpReply(status, headers, body.toByteArray()));
     }
 
