Deliver answers that cannot have a body at once

Cause: such an answer has no body, but was taken for one that ends with its connection.

Why it works: OutboundExchange asks the codec whether the answer has content at all.

--- a/entry/src/test/java/io/hornbeamfield/entry/EntryRelayTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/EntryRelayTest.java
@@ -17,6 +17,8 @@
 import java.util.concurrent.TimeoutException;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against forged or misdelivered responses, repeated runs, wrong refusals and corrupted resumed streams. */
 final class EntryRelayTest {
@@ -79,6 +81,21 @@
         assertThat(runner.receivedRequests()).hasSize(1);
     }
 
+    /** Guards against waiting for the body of an answer that cannot have one. */
+    @ParameterizedTest
+    @ValueSource(ints = {204, 205, 304})
+    void anAnswerWithoutABodyIsDeliveredAtOnce(int status) {
+        try (RawServer server = RawServer.start(fleet.store, "i-1", "plain", (head, out) -> {
+            RawServer.write(out, "HTTP/1.1 " + status + " No Body\r\n" + RawServer.signed(head) + "\r\n");
+            return true;
+        })) {
+            fleet.configure(1);
+            fleet.startReady();
+            assertThat(fleet.call("POST", "/write/x").all()).startsWith("HTTP/1.1 " + status);
+            assertThat(server.requests()).hasSize(1);
+        }
+    }
+
     /** Guards against waiting for a slow server although a further one has become available. */
     @Test
     void aSlowServerIsLeftOnceAFurtherServerCanTakeTheRequest() {
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/OutboundExchange.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/OutboundExchange.java
@@ -65,7 +65,7 @@
                 return;
             }
             headReceived = true;
-            delimitedByClose = !head.isChunked() && head.getContentLength() < 0;
+            delimitedByClose = head.isExpectContent() && !head.isChunked() && head.getContentLength() < 0;
             listener.onHead(head.getStatus(), headers);
         }
         Buffer buffer = content.getContent();
