--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
@@ -167,10 +167,10 @@
 
     /** Ends a silent attempt if a further server follows; otherwise the silent one may still respond. */
     private void sendElsewhere(Attempt silent, String reason) {
-        AttemptOutcome outcome = silent.sent() ? AttemptOutcome.SILENT : AttemptOutcome.NOT_CONNECTED;
-        int runs = possibleRuns + (silent.sent() ? 1 : 0);
-        NextStep next =
-                AttemptPolicy.next(outcome, state(runs, context.retries().mayRetry(service)));
+        boolean sent = silent.sent();
+        AttemptOutcome outcome = sent ? AttemptOutcome.SILENT : AttemptOutcome.NOT_CONNECTED;
+        boolean mayRetry = !sent || context.retries().mayRetry(service);
+        NextStep next = AttemptPolicy.next(outcome, state(possibleRuns + (sent ? 1 : 0), mayRetry));
         if (next == NextStep.SEND_AGAIN || next == NextStep.RESUME) {
             silent.endAsSilent(reason);
         }
