Forward the empty query of a target

Cause: an empty query was taken for none.

Evidence: RelayTransportTest.aTargetArrivesAsItWasSent, 1 of 7 targets failed before ('/a?').

--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyInboundRequest.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyInboundRequest.java
@@ -29,6 +29,7 @@
     private final String method;
     private final String path;
     private final String query;
+    private final boolean hasQuery;
     private final List<Header> headers;
     private final BufferPool input;
     private ByteArrayOutputStream receivedBody = new ByteArrayOutputStream();
@@ -55,6 +56,7 @@
         this.path = head.getRequestURI();
         String q = head.getQueryString();
         this.query = q == null ? "" : q;
+        this.hasQuery = !head.getQueryStringDC().isNull();
         this.headers = copy(head.getHeaders());
         this.closeAfter = !head.getProcessingState().isKeepAlive()
                 || "close".equalsIgnoreCase(String.valueOf(header("Connection")));
@@ -162,7 +164,7 @@
 
     @Override
     public String target() {
-        return query.isEmpty() ? path : path + "?" + query;
+        return hasQuery ? path + "?" + query : path;
     }
 
     @Override
--- a/net/src/test/java/io/hornbeamfield/net/relay/RelayTransportTest.java
+++ b/net/src/test/java/io/hornbeamfield/net/relay/RelayTransportTest.java
@@ -16,6 +16,8 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against truncated responses that look complete, and against bytes of one request that are parsed as another.
@@ -74,6 +76,15 @@
         assertThat(r.body()).asString(StandardCharsets.ISO_8859_1).isEqualTo("abc");
     }
 
+    /** Guards against a target that is forwarded in another spelling than the caller's. */
+    @ParameterizedTest
+    @ValueSource(strings = {"/a", "/a?", "/a?x", "/a??", "/a?x=1?y", "/a;b=1//c/../%2e?%00", "/?/"})
+    void aTargetArrivesAsItWasSent(String target) throws Exception {
+        int port = listen();
+        connect(port, "GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n");
+        assertThat(next().target()).isEqualTo(target);
+    }
+
     /** Guards against a terminating chunk directly after the first event of a stream. */
     @Test
     void aStreamEndsOnlyWhenItIsEnded() throws Exception {
