List the configuration after a failed watch

Cause: after an outage each instance watched from its last revision; the answer has an event with a whole configuration for each version since then and did not arrive within the timeout of a call, again and again, until the history was gone 17 s after the store was back.

StoreWatcherTest passes with the list; with CatchUp.EVENTS the watch is repeated.

Why it works: a list has the current configuration only, whatever was missed.

--- a/entry/src/main/java/io/hornbeamfield/entry/control/ControlPlane.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/ControlPlane.java
@@ -80,8 +80,18 @@
                 log,
                 new ConfigController(blackboard, book, log, () -> prepaid().tick()),
                 timing,
-                largeFleet);
-        servers = new StoreWatcher(store, StoreClient.BACKEND_SERVER_KIND, executor, log, backends, timing, largeFleet);
+                largeFleet,
+                // Each event has a whole configuration.
+                StoreWatcher.CatchUp.LIST);
+        servers = new StoreWatcher(
+                store,
+                StoreClient.BACKEND_SERVER_KIND,
+                executor,
+                log,
+                backends,
+                timing,
+                largeFleet,
+                StoreWatcher.CatchUp.EVENTS);
         Member self = new Member(
                 settings.instance(),
                 settings.availabilityZone(),
--- a/entry/src/main/java/io/hornbeamfield/entry/control/StoreWatcher.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/StoreWatcher.java
@@ -25,6 +25,14 @@
     /** The store counts every call, including rejected ones; its recovery must be noticed well within a second. */
     private static final long MAX_BACKOFF_MS = 600;
 
+    /** What follows a watch without an answer. */
+    enum CatchUp {
+        /** Watch from the last known revision. */
+        EVENTS,
+        /** List the objects, because the events that were missed may be too large to arrive in time. */
+        LIST
+    }
+
     /** Receives the objects of the kind, their changes, and the availability of the store. */
     interface Listener {
         void onList(StoreList list);
@@ -43,6 +51,7 @@
     private final Listener listener;
     private final WatchTiming timing;
     private final BooleanSupplier largeFleet;
+    private final CatchUp catchUp;
     private int consecutiveFailures;
 
     StoreWatcher(
@@ -52,7 +61,8 @@
             EventLog log,
             Listener listener,
             WatchTiming timing,
-            BooleanSupplier largeFleet) {
+            BooleanSupplier largeFleet,
+            CatchUp catchUp) {
         this.store = store;
         this.kind = kind;
         this.control = control;
@@ -60,6 +70,7 @@
         this.listener = listener;
         this.timing = timing;
         this.largeFleet = largeFleet;
+        this.catchUp = catchUp;
     }
 
     void start() {
@@ -99,7 +110,7 @@
                     .write();
             list();
         } else {
-            retry(failure, () -> watch(revision));
+            retry(failure, catchUp == CatchUp.LIST ? this::list : () -> watch(revision));
         }
     }
 
