Log whether the caller was connected when its request ended

An answer that is written to a closed connection was logged like a delivered one, so that the hypotheses of the incident could not be told apart. The request line now has callerConnected.

--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
@@ -394,7 +394,7 @@
         timers.cancelAll();
         int tokensPerEvent = spec.map(ServiceSpec::tokensPerEvent).orElse(1);
         long used = tokens.end(possibleRuns > 0 || status / 100 == 2, stream.events() * tokensPerEvent);
-        log.requestEnded(outcome, status, attempts, used);
+        log.requestEnded(outcome, status, attempts, used, request.callerGone());
         onDone.accept(this);
     }
 }
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestLog.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestLog.java
@@ -47,7 +47,7 @@
                 .write();
     }
 
-    void requestEnded(String outcome, int status, int attempts, long usedTokens) {
+    void requestEnded(String outcome, int status, int attempts, long usedTokens, boolean callerGone) {
         long durationMs = context.clock().millis() - arrivedMs;
         context.metrics().counter("requests." + outcome).inc();
         context.metrics()
@@ -70,6 +70,7 @@
                 .field("events", stream.events())
                 .field("tokens", usedTokens)
                 .field("limitMs", deadlineMs - arrivedMs)
+                .field("callerConnected", callerGone ? 0 : 1)
                 .write();
     }
 }
--- a/entry/src/test/java/io/hornbeamfield/entry/EntryFixture.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/EntryFixture.java
@@ -28,6 +28,7 @@
     private long objectiveMs = 400;
     private double retrySlack = 50;
     private long graceMs = 5_000;
+    private EventLog log = EventLog.none();
 
     FakeBackendServer runner(String id, String service) {
         FakeBackendServer r = new FakeBackendServer(id, service);
@@ -63,6 +64,11 @@
         graceMs = ms;
     }
 
+    /** Sets the log of the daemons that are started afterwards. */
+    void log(EventLog target) {
+        log = target;
+    }
+
     /** Writes a configuration with one route of each kind, except for the removed routes. */
     void configure(long version, String... removedRoutes) {
         store.put("config", "main", config(version, removedRoutes));
@@ -121,7 +127,7 @@
     /** Starts a daemon without waiting until it is ready. */
     EntryProcess start() {
         EntrySettings s = newSettings(store.address());
-        EntryProcess entry = EntryProcess.start(Path.of("no-settings-file"), s, EventLog.none());
+        EntryProcess entry = EntryProcess.start(Path.of("no-settings-file"), s, log);
         settings.add(s);
         entries.add(entry);
         return entry;
--- a/entry/src/test/java/io/hornbeamfield/entry/LiveSettingsTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/LiveSettingsTest.java
@@ -28,17 +28,7 @@
 
     private final List<String> lines = new CopyOnWriteArrayList<>();
 
-    private final EventLog log = new EventLog() {
-        @Override
-        public Line event(String name) {
-            return new Line(name, lines::add);
-        }
-
-        @Override
-        public long dropped() {
-            return 0;
-        }
-    };
+    private final EventLog log = CollectedLog.into(lines);
 
     private Path write(String callerAddress, String retryRatio) throws IOException {
         Path file = directory.resolve("settings.json");
