Write the last line of a log when it is closed

The line that the writer had taken for its next batch was dropped when the log was closed in the meantime.

--- a/entry/src/main/java/io/hornbeamfield/entry/StdoutEventLog.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/StdoutEventLog.java
@@ -6,6 +6,8 @@
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.time.Clock;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.atomic.AtomicLong;
@@ -20,18 +22,24 @@
 
     private final BlockingQueue<String> lines = new ArrayBlockingQueue<>(BUFFER_CAPACITY_LINES);
     private final AtomicLong dropped = new AtomicLong();
-    private final OutputStream out = new FileOutputStream(FileDescriptor.out);
+    private final OutputStream out;
     private final Clock clock;
     private final Thread writer = new Thread(this::writeLines, "log-writer");
     private long reportedDropped;
 
-    private StdoutEventLog(Clock clock) {
+    private StdoutEventLog(Clock clock, OutputStream out) {
         this.clock = clock;
+        this.out = out;
     }
 
     /** Starts the log. */
     public static StdoutEventLog start(Clock clock) {
-        StdoutEventLog log = new StdoutEventLog(clock);
+        return start(clock, new FileOutputStream(FileDescriptor.out));
+    }
+
+    /** Starts a log that writes to the given stream. */
+    static StdoutEventLog start(Clock clock, OutputStream out) {
+        StdoutEventLog log = new StdoutEventLog(clock, out);
         log.writer.setDaemon(true);
         log.writer.start();
         return log;
@@ -54,20 +62,25 @@
     }
 
     private void writeLines() {
+        List<String> batch = new ArrayList<>();
         try {
             while (!Thread.currentThread().isInterrupted()) {
-                String first = lines.take();
+                batch.add(lines.take());
                 Thread.sleep(FLUSH_INTERVAL_MS);
-                writeBatch(first);
+                lines.drainTo(batch);
+                write(batch);
+                batch.clear();
             }
         } catch (InterruptedException e) {
-            writeBatch("{\"event\":\"log-closed\"}");
+            lines.drainTo(batch);
+            batch.add("{\"event\":\"log-closed\"}");
+            write(batch);
         }
     }
 
-    private void writeBatch(String first) {
-        StringBuilder batch = new StringBuilder(first).append('\n');
-        for (String line = lines.poll(); line != null; line = lines.poll()) {
+    private void write(List<String> written) {
+        StringBuilder batch = new StringBuilder();
+        for (String line : written) {
             batch.append(line).append('\n');
         }
         long droppedSoFar = dropped.get();
