Answer requests whose step after a future fails

What callers saw: a model request or service call was accepted and never answered, neither with a result nor with a refusal. Its admission slot and its reservation were never released either, and a graceful stop waited for it without end.

Cause: RequestRun guards the steps that run on its executor, so that a fault of the router ends the request with an answer. The steps after a reservation, a bill, the reply of a service and the cancellation at an engine were stages of a CompletableFuture. Such a stage catches what its action throws and keeps it for a dependent stage, which nobody had added: the guard saw nothing. That is the larger part of a request's steps, dispatch included. Besides, the guard cancelled the attempt first, and a fault there skipped the end of the request.

Why this works: the actions of the futures only hand the step to the executor, so that the guard runs around it. The guard settles and ends the request before it cancels the attempt, and takes it off the load of its server.

--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/ModelAttempt.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/ModelAttempt.java
@@ -285,7 +285,7 @@
     private void cancelAndReportUsage(CancelledOutcome outcome) {
         ended = true;
         closeConnection();
-        engine.cancel().thenAcceptAsync(reported -> listener.ended(outcomeOf(reported, outcome)), executor);
+        engine.cancel().thenAccept(reported -> executor.execute(() -> listener.ended(outcomeOf(reported, outcome))));
     }
 
     private AttemptOutcome outcomeOf(Optional<Usage> reported, CancelledOutcome outcome) {
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/RequestRun.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/RequestRun.java
@@ -60,7 +60,10 @@
         this.attemptFactory = new AttemptFactory(context, request, executor, this);
     }
 
-    /** Runs a step. A fault of the router in it must neither leave callers waiting nor block a graceful stop. */
+    /**
+     * Runs a step. A fault of the router in it must neither leave callers waiting nor block a graceful stop. A step
+     * that follows a future is handed to the executor from within its action, since the future would keep the fault.
+     */
     private void runGuarded(Runnable step) {
         try {
             step.run();
@@ -83,16 +86,20 @@
 
     private void stopAfterFault(AnswerOutcome end) {
         Attempt current = attempt;
+        BackendView used = server;
         Reservation held = reservation;
         attempt = null;
         reservation = null;
-        if (current != null) {
-            current.cancel();
-        }
         if (held != null) {
             charges.settle(held, held.tokens());
         }
+        if (current != null && used != null) {
+            context.load().finished(used.id());
+        }
         finish(end, "failed");
+        if (current != null) {
+            current.cancel();
+        }
     }
 
     Answer answer() {
@@ -165,7 +172,7 @@
         Duration wait = Duration.ofMillis(context.preset().admissionWaitMs());
         context.budgets()
                 .reserve(request.budget(), request.work().worstCaseTokens(), left.compareTo(wait) < 0 ? left : wait)
-                .whenCompleteAsync((result, failure) -> reserved(orRouterFault(result, failure)), executor);
+                .whenComplete((result, failure) -> executor.execute(() -> reserved(orRouterFault(result, failure))));
     }
 
     private void reserved(Result<Reservation> result) {
@@ -309,7 +316,7 @@
         } else if (held != null) {
             held.close();
         }
-        charges.bill(status).whenCompleteAsync((done, failure) -> publish(end), executor);
+        charges.bill(status).whenComplete((done, failure) -> executor.execute(() -> publish(end)));
     }
 
     private void publish(AnswerOutcome end) {
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/ServiceAttempt.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/ServiceAttempt.java
@@ -49,7 +49,7 @@
                 .body(work.body())
                 .bodyMayEndWithConnection()
                 .timeout(timeout);
-        client.send(call.build()).whenCompleteAsync(this::callEnded, executor);
+        client.send(call.build()).whenComplete((reply, failure) -> executor.execute(() -> callEnded(reply, failure)));
     }
 
     private void callEnded(@Nullable HttpReply reply, @Nullable Throwable failure) {
