Reject bodies whose chunks do not follow each other exactly

Callers saw a stream that broke off inside its chunks as complete, and answers from which bytes were missing: Grizzly takes a line without a size for the last chunk, and drops whatever stands between the end of a chunk and the end of its line. A request with such a body ran, too, although it was malformed.

ChunkFraming checks the end of each chunk and the start of the next size before Grizzly parses them. Both response clients and the request codec use it, since all parse chunks with the same class.

The check looks only at where a size is due, so that it does not depend on how the bytes are split into reads.

--- a/entry/src/test/java/io/hornbeamfield/entry/AnswerFramingTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/AnswerFramingTest.java
@@ -98,6 +98,9 @@
                         "a chunk size that overflows",
                         ANSWER + CHUNKED + "\r\n" + RawServer.chunk(EVENT) + "10000000000000000\r\n\r\n"),
                 answer("a chunk that is too long", ANSWER + CHUNKED + "\r\n4\r\n" + EVENT + "\r\n0\r\n\r\n"),
+                answer(
+                        "a chunk that is longer than its size, up to the end of its line",
+                        ANSWER + CHUNKED + "\r\n" + RawServer.chunk(EVENT).replace("\n\n", "\n\nxx") + "0\r\n\r\n"),
                 answer("HTTP/1.0 and a short body", "HTTP/1.0 200 OK\r\n$Content-Length: 90\r\n\r\n" + EVENT),
                 answer(
                         "HTTP/1.0 and chunks without an end",
--- a/net/src/main/java/io/hornbeamfield/net/http/internal/ResponseCodec.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/ResponseCodec.java
@@ -6,7 +6,7 @@
 
 /**
  * Codec of responses that leaves their bodies as received. Grizzly would decompress a compressed one, which may become
- * a thousand times larger.
+ * a thousand times larger. An answer in chunks that are not well-formed is broken.
  */
 public final class ResponseCodec extends HttpClientFilter {
     /** Creates a codec with Grizzly's limit of a head. */
@@ -20,5 +20,6 @@
         for (ContentEncoding encoding : getContentEncodings()) {
             removeContentEncoding(encoding);
         }
+        ChunkFraming.install(this, maxHeaderBytes);
     }
 }
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/RequestCodecFilter.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/RequestCodecFilter.java
@@ -1,5 +1,6 @@
 package io.hornbeamfield.net.relay.internal;
 
+import io.hornbeamfield.net.http.internal.ChunkFraming;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Grizzly;
 import org.glassfish.grizzly.attributes.Attribute;
@@ -19,6 +20,7 @@
     RequestCodecFilter(int maxHeaderBytes, KeepAlive keepAlive) {
         super(true, maxHeaderBytes, keepAlive, null);
         setAllowPayloadForUndefinedHttpMethods(true);
+        ChunkFraming.install(this, maxHeaderBytes);
     }
 
     /**
--- a/net/src/test/java/io/hornbeamfield/net/http/ResponseEndTest.java
+++ b/net/src/test/java/io/hornbeamfield/net/http/ResponseEndTest.java
@@ -31,6 +31,7 @@
     private ServerSocket server;
     private volatile String response = "";
     private volatile boolean resets;
+    private volatile boolean sendsSingleBytes;
 
     @BeforeEach
     void start() throws IOException {
@@ -49,7 +50,13 @@
     private void serve() {
         try (Socket connection = server.accept()) {
             readHead(connection.getInputStream());
-            connection.getOutputStream().write(response.replace("~", "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+            connection.setTcpNoDelay(true);
+            byte[] bytes = response.replace("~", "\r\n").getBytes(StandardCharsets.ISO_8859_1);
+            int partBytes = sendsSingleBytes ? 1 : bytes.length;
+            for (int i = 0; i < bytes.length; i += partBytes) {
+                connection.getOutputStream().write(bytes, i, partBytes);
+                Thread.sleep(sendsSingleBytes ? 1 : 0);
+            }
             if (resets) {
                 Thread.sleep(RESET_DELAY_MS);
                 connection.setSoLinger(true, 0);
@@ -108,6 +115,12 @@
                 CHUNKED + "a~0123456789~0~X: y~",
                 CHUNKED + "a~0123456789~0~\r",
                 CHUNKED + "a~0123456789~x~",
+                CHUNKED + "~~",
+                CHUNKED + "a~0123456789~~~",
+                CHUNKED + "a~0123456789~ ~~",
+                CHUNKED + "a~0123456789~;x~~",
+                CHUNKED + "a~0123456789xx~0~~",
+                CHUNKED + "a~0123456789\r0~~",
                 "HTTP/1.1 100 Continue~~",
                 "HTTP/1.1 100 Continue~~" + OK,
                 "HTTP/1.1 103 Early Hints~Link: x~~" + OK + "Content-Length: 10~",
@@ -136,6 +149,13 @@
         assertBroken(call().bodyMayEndWithConnection());
     }
 
+    @ParameterizedTest(name = "\"{0}\"")
+    @MethodSource("cutResponses")
+    void aCutResponseInSingleBytesIsBroken(String cut) {
+        sendsSingleBytes = true;
+        aCutResponseIsBroken(cut, false);
+    }
+
     /** The length of such a body is not certain, so that a part of it could count as the whole. */
     @ParameterizedTest(name = "{0}")
     @ValueSource(
@@ -162,17 +182,32 @@
         assertBroken(call().bodyMayEndWithConnection());
     }
 
-    @ParameterizedTest(name = "\"{0}\"")
-    @ValueSource(
-            strings = {
+    static Stream<String> wholeResponses() {
+        return Stream.of(
                 LENGTH + "0123456789",
                 CHUNKED + "a~0123456789~0~~",
                 CHUNKED + "4~0123~6~456789~0~X: y~~",
-                OK + "Content-Length: 10~Content-Length: 10~~0123456789",
+                CHUNKED + " A ~0123456789~000~~",
+                CHUNKED + "a\n0123456789\n0\n\n",
+                OK + "Content-Length: 10~Content-Length: 10~~0123456789");
+    }
+
+    static Stream<String> otherWholeResponses() {
+        return Stream.of(
                 OK + "Transfer-Encoding: Chunked~Content-Length: 4~~a~0123456789~0~~",
                 "HTTP/1.1 100 Continue~~" + LENGTH + "0123456789",
-                "HTTP/1.1 100 Continue~~" + CHUNKED + "a~0123456789~0~~"
-            })
+                "HTTP/1.1 100 Continue~~" + CHUNKED + "a~0123456789~0~~");
+    }
+
+    @ParameterizedTest(name = "\"{0}\"")
+    @MethodSource("wholeResponses")
+    void aWholeResponseInSingleBytesIsComplete(String whole) {
+        sendsSingleBytes = true;
+        aWholeResponseIsComplete(whole);
+    }
+
+    @ParameterizedTest(name = "\"{0}\"")
+    @MethodSource({"wholeResponses", "otherWholeResponses"})
     void aWholeResponseIsComplete(String whole) {
         response = whole;
         assertThat(reply(call()).text()).isEqualTo("0123456789");
