End a response with its chunks if its head arrives in parts

Callers could see a part of a body, with its chunk sizes in it, as a whole answer: if a head that has both chunks and a length arrives in several parts, Grizzly may take the length.

ResponseCodec now sets the framing from the field itself once the head is complete, before the coding of the body is chosen. A request with such a head was and is rejected or read by its chunks (HostileRequestTest).

--- a/net/src/main/java/io/hornbeamfield/net/http/internal/ChunkFraming.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/ChunkFraming.java
@@ -12,6 +12,7 @@
 import org.glassfish.grizzly.http.HttpPacketParsing;
 import org.glassfish.grizzly.http.ParsingResult;
 import org.glassfish.grizzly.http.TransferEncoding;
+import org.glassfish.grizzly.http.util.Header;
 
 /**
  * Chunked coding that rejects a body whose chunks do not follow each other exactly. Grizzly takes a line without a size
@@ -42,6 +43,17 @@
         codec.addTransferEncoding(new ChunkFraming(new ChunkedTransferEncoding(maxTrailerBytes)));
     }
 
+    /**
+     * Lets the chunks of a body determine its end wherever its head says so. Grizzly may use a length in the head
+     * instead if the head arrives in several parts.
+     */
+    static void recognize(HttpHeader head) {
+        if ("chunked".equalsIgnoreCase(head.getHeader(Header.TransferEncoding))) {
+            head.setChunked(true);
+            head.setContentLengthLong(-1);
+        }
+    }
+
     @Override
     public boolean wantDecode(HttpHeader head) {
         return chunked.wantDecode(head);
--- a/net/src/main/java/io/hornbeamfield/net/http/internal/ResponseCodec.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/ResponseCodec.java
@@ -1,8 +1,11 @@
 package io.hornbeamfield.net.http.internal;
 
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.http.ContentEncoding;
 import org.glassfish.grizzly.http.HttpClientFilter;
 import org.glassfish.grizzly.http.HttpCodecFilter;
+import org.glassfish.grizzly.http.HttpHeader;
 
 /**
  * Codec of responses that leaves their bodies as received. Grizzly would decompress a compressed one, which may become
@@ -22,4 +25,10 @@
         }
         ChunkFraming.install(this, maxHeaderBytes);
     }
+
+    @Override
+    protected boolean onHttpHeaderParsed(HttpHeader head, Buffer buffer, FilterChainContext ctx) {
+        ChunkFraming.recognize(head);
+        return super.onHttpHeaderParsed(head, buffer, ctx);
+    }
 }
--- a/net/src/test/java/io/hornbeamfield/net/http/ResponseEndTest.java
+++ b/net/src/test/java/io/hornbeamfield/net/http/ResponseEndTest.java
@@ -189,12 +189,12 @@
                 CHUNKED + "4~0123~6~456789~0~X: y~~",
                 CHUNKED + " A ~0123456789~000~~",
                 CHUNKED + "a\n0123456789\n0\n\n",
-                OK + "Content-Length: 10~Content-Length: 10~~0123456789");
+                OK + "Content-Length: 10~Content-Length: 10~~0123456789",
+                OK + "Content-Length: 4~Transfer-Encoding: Chunked~~a~0123456789~0~~");
     }
 
-    static Stream<String> otherWholeResponses() {
+    static Stream<String> wholeResponsesWithInterimHeads() {
         return Stream.of(
-                OK + "Transfer-Encoding: Chunked~Content-Length: 4~~a~0123456789~0~~",
                 "HTTP/1.1 100 Continue~~" + LENGTH + "0123456789",
                 "HTTP/1.1 100 Continue~~" + CHUNKED + "a~0123456789~0~~");
     }
@@ -206,8 +206,19 @@
         aWholeResponseIsComplete(whole);
     }
 
+    @Test
+    void chunksOverrideALengthAfterThemInSingleBytes() {
+        sendsSingleBytes = true;
+        aWholeResponseIsComplete(OK + "Transfer-Encoding: Chunked~Content-Length: 4~~a~0123456789~0~~");
+    }
+
+    @Test
+    void chunksOverrideALengthAfterThem() {
+        aWholeResponseIsComplete(OK + "Transfer-Encoding: Chunked~Content-Length: 4~~a~0123456789~0~~");
+    }
+
     @ParameterizedTest(name = "\"{0}\"")
-    @MethodSource({"wholeResponses", "otherWholeResponses"})
+    @MethodSource({"wholeResponses", "wholeResponsesWithInterimHeads"})
     void aWholeResponseIsComplete(String whole) {
         response = whole;
         assertThat(reply(call()).text()).isEqualTo("0123456789");
