--- a/net/src/test/java/io/hornbeamfield/net/http/ResponseEndTest.java
+++ b/net/src/test/java/io/hornbeamfield/net/http/ResponseEndTest.java
@@ -206,6 +206,13 @@
         aWholeResponseIsComplete(whole);
     }
 
+    @ParameterizedTest(name = "\"{0}\"")
+    @MethodSource("wholeResponsesWithInterimHeads")
+    void anInterimHeadInSingleBytesDoesNotBreakTheResponse(String whole) {
+        sendsSingleBytes = true;
+        aWholeResponseIsComplete(whole);
+    }
+
     @Test
     void chunksOverrideALengthAfterThemInSingleBytes() {
         sendsSingleBytes = true;
