Answer keyed requests whose relay fails

What callers saw: a chat request with the key of another router and a query that is not a valid URI, such as "?t=a|b", was accepted and never answered. The router counted it as open until the caller left, so that a graceful stop waited for it. The same happened if the address of the owner was not valid.

Cause: the steps of a relay ran without the guard that the steps of a request have. An action of the probe's future kept the exception of URI.create; the executor logged that of the probe itself and went on.

Why this works: every step of a relay runs in a guard that answers, and the actions of futures only hand their step to it. A query that cannot be relayed is refused with what to do; the refusal does not say "not run", since the owner may have run a request with this key.

--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/Relay.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/Relay.java
@@ -1,15 +1,21 @@
 package io.hornbeamfield.router.traffic.internal;
 
 import com.google.common.util.concurrent.MoreExecutors;
+import io.hornbeamfield.core.result.Refusal;
+import io.hornbeamfield.core.result.ResultCode;
 import io.hornbeamfield.core.routing.RouterInfo;
 import io.hornbeamfield.net.http.HttpCall;
 import io.hornbeamfield.net.http.HttpExchange;
+import io.hornbeamfield.net.http.ProblemDetails;
+import java.net.URI;
+import java.net.URISyntaxException;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
+import org.jboss.logging.Logger;
 
 /** Relays a keyed request to the incarnation that its key names. */
 final class Relay {
@@ -28,6 +34,8 @@
     private static final int PROBES_IF_NOT_REPEATABLE = 5;
     private static final Duration PROBE_INTERVAL = Duration.ofMillis(500);
 
+    private static final Logger LOG = Logger.getLogger(Relay.class);
+
     private final TrafficContext context;
     private final RouterIdentity identity;
 
@@ -42,34 +50,54 @@
      * make the outcome unknown.
      */
     void send(HttpExchange exchange, CallerRequest request, Runnable ifUnreachable) {
-        Executor executor = MoreExecutors.newSequentialExecutor(context.pool());
+        Executor steps = MoreExecutors.newSequentialExecutor(context.pool());
+        Executor executor = step -> steps.execute(() -> runGuarded(step, exchange, request));
         int probesLeft = request.work().repeatable() ? 1 : PROBES_IF_NOT_REPEATABLE;
         executor.execute(() -> probeOwner(exchange, request, executor, ifUnreachable, probesLeft));
     }
 
+    /** Runs a step. A fault of the router in it must not leave the caller waiting. */
+    private void runGuarded(Runnable step, HttpExchange exchange, CallerRequest request) {
+        try {
+            step.run();
+        } catch (RuntimeException e) {
+            context.counters().count("faults");
+            LOG.errorf(
+                    e,
+                    "The relay of request %s failed because of an internal error.",
+                    request.key().text());
+            ProblemDetails.reply(
+                    exchange, Refusal.of(ResultCode.OUTCOME_UNKNOWN, "Internal error of the router: " + e));
+        }
+    }
+
     private void probeOwner(
             HttpExchange exchange, CallerRequest request, Executor executor, Runnable ifUnreachable, int probesLeft) {
         Optional<String> address = addressOf(request.key().owner());
         CompletableFuture<Boolean> probe = address.map(
                         a -> identity.probe(a, request.key().owner()))
                 .orElseGet(() -> CompletableFuture.completedFuture(false));
-        probe.thenAcceptAsync(
-                reachable -> {
-                    if (reachable) {
-                        forward(exchange, request, address.orElseThrow(), executor, ifUnreachable);
-                    } else if (probesLeft > 1 && !request.deadline().hasPassed(context.clock())) {
-                        Runnable probeAgain =
-                                () -> probeOwner(exchange, request, executor, ifUnreachable, probesLeft - 1);
-                        context.timer()
-                                .schedule(
-                                        () -> executor.execute(probeAgain),
-                                        PROBE_INTERVAL.toMillis(),
-                                        TimeUnit.MILLISECONDS);
-                    } else {
-                        ifUnreachable.run();
-                    }
-                },
-                executor);
+        // Handed to the executor from within the action, since the future would keep a fault.
+        probe.thenAccept(reachable -> executor.execute(() -> {
+            if (reachable) {
+                forward(exchange, request, address.orElseThrow(), executor, ifUnreachable);
+            } else if (probesLeft > 1 && !request.deadline().hasPassed(context.clock())) {
+                Runnable probeAgain = () -> probeOwner(exchange, request, executor, ifUnreachable, probesLeft - 1);
+                context.timer()
+                        .schedule(() -> executor.execute(probeAgain), PROBE_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+            } else {
+                ifUnreachable.run();
+            }
+        }));
+    }
+
+    private static boolean isValidUri(String target) {
+        try {
+            new URI(target);
+            return true;
+        } catch (URISyntaxException e) {
+            return false;
+        }
     }
 
     private Optional<String> addressOf(String incarnation) {
@@ -81,11 +109,18 @@
 
     private void forward(
             HttpExchange exchange, CallerRequest request, String address, Executor executor, Runnable ifUnreachable) {
+        String target = exchange.path() + exchange.rawQuery().map(q -> "?" + q).orElse("");
+        if (!isValidUri(target)) {
+            ProblemDetails.reply(
+                    exchange,
+                    Refusal.of(
+                            ResultCode.OUTCOME_UNKNOWN,
+                            "The query is not a valid URI, so that the request cannot be relayed. Send it to router "
+                                    + request.key().owner() + ", which owns the key, or escape the query."));
+            return;
+        }
         context.counters().count("relayed");
-        HttpCall.Builder call = HttpCall.of(
-                        exchange.method(),
-                        "http://" + address + exchange.path()
-                                + exchange.rawQuery().map(q -> "?" + q).orElse(""))
+        HttpCall.Builder call = HttpCall.of(exchange.method(), "http://" + address + target)
                 .header(CallerHeaders.RELAY, identity.relayHeader(request.key().text()))
                 .header("Connection", "close")
                 .body(exchange.body())
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/RelayedAnswer.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/RelayedAnswer.java
@@ -71,7 +71,7 @@
     }
 
     private void checkLiveness() {
-        ownerLiveness.get().thenAcceptAsync(this::livenessChecked, executor);
+        ownerLiveness.get().thenAccept(isAlive -> executor.execute(() -> livenessChecked(isAlive)));
     }
 
     private void livenessChecked(boolean isAlive) {
