Close client connections only after the input that waits on them is read

Callers saw their connection end without an answer although they had sent their next request in time, and servers worked on requests whose connection was closed already.

It closed connections whose next request was in the socket, unread because the reading thread or the whole process had been held up, and its close overlapped with a read: Grizzly marks the connection as closed at once, but the reading thread goes on with the connections that it has selected, so that the request was passed on and its answer discarded. The close of idle connections at the end of a planned stop ran on the reading thread, but did not look for waiting input either.

Now both decisions are made on the reading thread, after a read of what has arrived; a connection that is closed is not read any more. Times of reads are recorded under the serial.

--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyRelayTransport.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyRelayTransport.java
@@ -72,7 +72,7 @@
         keepAlive.setMaxRequestsCount(-1);
         FilterChain chain = FilterChainBuilder.stateless()
                 .add(new ReadFilter(serial, input, Connection::terminateSilently))
-                .add(new InboundConnectionFilter(inbound, limits))
+                .add(new InboundConnectionFilter(inbound, limits, serial))
                 .add(new RequestCodecFilter(ConnectionInput.MAX_HEADER_BYTES, keepAlive))
                 .add(new InboundFilter(serial, handler, inbound, limits, input))
                 .build();
@@ -138,7 +138,7 @@
 
     @Override
     public void closeIdle() {
-        inbound.closeIdle(serial);
+        inbound.closeIdle();
     }
 
     @Override
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundConnectionFilter.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundConnectionFilter.java
@@ -1,6 +1,7 @@
 package io.hornbeamfield.net.relay.internal;
 
 import io.hornbeamfield.net.relay.InboundLimits;
+import io.hornbeamfield.net.relay.Serial;
 import java.util.function.Supplier;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.filterchain.BaseFilter;
@@ -11,16 +12,18 @@
 final class InboundConnectionFilter extends BaseFilter {
     private final InboundConnections connections;
     private final Supplier<InboundLimits> limits;
+    private final Serial serial;
 
-    InboundConnectionFilter(InboundConnections connections, Supplier<InboundLimits> limits) {
+    InboundConnectionFilter(InboundConnections connections, Supplier<InboundLimits> limits, Serial serial) {
         this.connections = connections;
         this.limits = limits;
+        this.serial = serial;
     }
 
     @Override
     public NextAction handleAccept(FilterChainContext ctx) {
         Connection<?> c = ctx.getConnection();
-        connections.add(c, new InboundState(c, limits));
+        connections.add(c, new InboundState(c, limits, serial));
         return ctx.getInvokeAction();
     }
 
@@ -28,7 +31,7 @@
     public NextAction handleRead(FilterChainContext ctx) {
         InboundState state = InboundConnections.stateOf(ctx.getConnection());
         if (state != null) {
-            state.bytesReceived();
+            serial.run(state::bytesReceived);
         }
         return ctx.getInvokeAction();
     }
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundConnections.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundConnections.java
@@ -1,7 +1,5 @@
 package io.hornbeamfield.net.relay.internal;
 
-import io.hornbeamfield.net.relay.Serial;
-import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import org.glassfish.grizzly.Connection;
@@ -37,13 +35,11 @@
         return all.stream().mapToLong(s -> s.unsent().get()).sum();
     }
 
-    /** Closes the idle connections on the thread that reads them, so that none of them has a request half-way. */
-    void closeIdle(Serial serial) {
-        all.forEach(s -> s.inReadingThread(() -> serial.run(s::closeIfIdle)));
+    void closeIdle() {
+        all.forEach(InboundState::closeIfIdle);
     }
 
     void closeTimedOut() {
-        long now = System.nanoTime();
-        List.copyOf(all).forEach(s -> s.closeIfTimedOut(now));
+        all.forEach(InboundState::closeIfTimedOut);
     }
 }
