Answer requests and end a stop although the handling of one request fails

Callers of a stopping entry daemon could lose all requests in progress because of an error in one of them, and a request whose end could not be recorded got no answer at all.

Cause: an exception or error in the end of one request left the loop over the requests of a stop and the sequence of its polls, so that the stop never ended and the platform killed the process. A request was answered only after it had been accounted for and logged; after an error in between it stayed open without an answer, and a refusal was a closed connection. An executor drops a periodic task that throws: the settings file, and so a new grace period, was never read again, and the lists of servers, instances and tokens had the same weakness.

LoggedTask runs what must not affect others and logs its failure. The end of a request is accounted for in such a task, so that its answer follows in any case; refusals are answered before they are logged. The shutdown is applied to each request in a task of its own, and periodic tasks go on.

The timers of the other controllers are changed in the same way without a test of their own.

--- a/entry/src/main/java/io/hornbeamfield/entry/EntryProcess.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/EntryProcess.java
@@ -105,8 +105,11 @@
         metrics.gauge("requests.open", traffic::openRequests);
         listen();
         control.start();
-        executor.scheduleWithFixedDelay(
-                live::reloadIfChanged, SETTINGS_POLL_MS, SETTINGS_POLL_MS, TimeUnit.MILLISECONDS);
+        executor.scheduleWithFixedDelay(this::readSettings, SETTINGS_POLL_MS, SETTINGS_POLL_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void readSettings() {
+        LoggedTask.run("Reading the settings", live::reloadIfChanged);
     }
 
     private void listen() {
@@ -153,7 +156,7 @@
 
     /** Triggers an immediate reload of the settings file. */
     public void reloadSettings() {
-        executor.execute(live::reloadIfChanged);
+        executor.execute(this::readSettings);
     }
 
     /** Forwards the events of the controllers to request handling. */
--- a/entry/src/main/java/io/hornbeamfield/entry/Timers.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/Timers.java
@@ -4,12 +4,9 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
-import org.jboss.logging.Logger;
 
 /** Schedules actions that run in the serial executor of request handling. */
 public final class Timers {
-    private static final Logger LOG = Logger.getLogger(Timers.class);
-
     private final ScheduledThreadPoolExecutor executor;
     private final Serial serial;
 
@@ -20,19 +17,15 @@
 
     /** Runs an action once after a delay. */
     public Future<?> after(long delayMs, Runnable action) {
-        return executor.schedule(() -> runLogged(action), Math.max(0, delayMs), TimeUnit.MILLISECONDS);
+        return executor.schedule(inSerial(action), Math.max(0, delayMs), TimeUnit.MILLISECONDS);
     }
 
     /** Runs an action repeatedly, with a fixed delay between two runs. */
     public void every(long periodMs, Runnable action) {
-        executor.scheduleWithFixedDelay(() -> runLogged(action), periodMs, periodMs, TimeUnit.MILLISECONDS);
+        executor.scheduleWithFixedDelay(inSerial(action), periodMs, periodMs, TimeUnit.MILLISECONDS);
     }
 
-    private void runLogged(Runnable action) {
-        try {
-            serial.run(action);
-        } catch (RuntimeException e) {
-            LOG.error("A scheduled action failed.", e);
-        }
+    private Runnable inSerial(Runnable action) {
+        return () -> LoggedTask.run("A scheduled action", () -> serial.run(action));
     }
 }
--- a/entry/src/main/java/io/hornbeamfield/entry/control/ControlPlane.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/ControlPlane.java
@@ -8,6 +8,7 @@
 import io.hornbeamfield.entry.Blackboard.Member;
 import io.hornbeamfield.entry.EntrySettings;
 import io.hornbeamfield.entry.EventLog;
+import io.hornbeamfield.entry.LoggedTask;
 import io.hornbeamfield.net.http.HttpClient;
 import io.hornbeamfield.platform.StoreClient;
 import java.time.Clock;
@@ -136,17 +137,16 @@
             crashes.start();
             members.register();
         });
-        executor.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+        every(TICK_MS, "Maintaining the servers", backends::tick);
+        every(TICK_MS, "Maintaining the witnesses", peers.witnesses()::tick);
+        every(TICK_MS, "Maintaining the prepaid tokens", prepaid::tick);
         executor.schedule(members::refresh, FIRST_MEMBER_REFRESH_MS, TimeUnit.MILLISECONDS);
-        executor.scheduleWithFixedDelay(members::refresh, MEMBER_REFRESH_MS, MEMBER_REFRESH_MS, TimeUnit.MILLISECONDS);
-        executor.scheduleWithFixedDelay(
-                members::checkReadiness, MEMBER_CHECK_MS, MEMBER_CHECK_MS, TimeUnit.MILLISECONDS);
+        every(MEMBER_REFRESH_MS, "Reading the list of instances", members::refresh);
+        every(MEMBER_CHECK_MS, "Checking the other instances", members::checkReadiness);
     }
 
-    private void tick() {
-        backends.tick();
-        peers.witnesses().tick();
-        prepaid.tick();
+    private void every(long periodMs, String name, Runnable task) {
+        executor.scheduleWithFixedDelay(() -> LoggedTask.run(name, task), periodMs, periodMs, TimeUnit.MILLISECONDS);
     }
 
     /** Records a request whose answer had not begun when its server crashed. May be called from any thread. */
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/RelayHandler.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/RelayHandler.java
@@ -5,6 +5,7 @@
 import io.hornbeamfield.core.route.Route;
 import io.hornbeamfield.core.route.RouteConfig;
 import io.hornbeamfield.core.route.WorkspaceAccess;
+import io.hornbeamfield.entry.LoggedTask;
 import io.hornbeamfield.net.relay.InboundHandler;
 import io.hornbeamfield.net.relay.InboundRequest;
 import io.hornbeamfield.platform.RequestHead;
@@ -36,7 +37,7 @@
 
     /** Ends the requests in progress that may not go on in the present stage of the shutdown. */
     void shutdownStageChanged() {
-        List.copyOf(open).forEach(RequestFlow::shutdownStageChanged);
+        List.copyOf(open).forEach(f -> LoggedTask.run("Applying the shutdown to a request", f::shutdownStageChanged));
     }
 
     @Override
@@ -108,6 +109,7 @@
     }
 
     private void refuse(InboundRequest request, RequestHead head, ResultCode code, String detail, long retryAfterMs) {
+        Responses.refuse(request, code, detail, retryAfterMs);
         context.metrics().counter("requests." + code.name()).inc();
         context.log()
                 .event("request")
@@ -119,6 +121,5 @@
                 .field("outcome", code.name())
                 .field("status", code.httpStatus())
                 .write();
-        Responses.refuse(request, code, detail, retryAfterMs);
     }
 }
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
@@ -15,6 +15,7 @@
 import io.hornbeamfield.core.route.RouteConfig;
 import io.hornbeamfield.core.route.ServiceSpec;
 import io.hornbeamfield.core.route.WorkspaceAccess;
+import io.hornbeamfield.entry.LoggedTask;
 import io.hornbeamfield.net.relay.Header;
 import io.hornbeamfield.net.relay.InboundRequest;
 import io.hornbeamfield.net.relay.OutboundRequest;
@@ -78,7 +79,7 @@
         this.serverWaitLeftMs = route.objectiveMs() / 2;
         this.onDone = onDone;
         this.timers = new RequestTimers(context.timers());
-        this.tokens = new TokenReservation(context, head, workspace, this);
+        this.tokens = new TokenReservation(context, head, workspace, spec, this);
         this.servers = new ServerSelection(context, service, spec, head);
         this.parts = new PromptParts(context, service, head);
         this.stream = new ForwardedStream(request, head.maxOutputTokens(), context.clock());
@@ -197,10 +198,8 @@
             source.endAsExcessive("the server sends without end and without a new event");
         } else if (stream.exceedsMaximum()) {
             context.pools().suspend(source.pool(), "more events than output tokens");
-            cancelAttempt();
             abortStream("too-many-events");
         } else if (request.unsentBytes() > MAX_CALLER_BACKLOG_BYTES) {
-            cancelAttempt();
             abortStream("caller-too-slow");
         } else {
             parts.recordProgress(source.hasOutlivedStart(context.clock().millis()));
@@ -224,7 +223,6 @@
     public void release() {
         Attempt running = attempt;
         if (stream.started() || running == null) {
-            cancelAttempt();
             abortStream("buffers-full");
         } else {
             running.endAsExcessive("the answers of all servers occupy too much memory, and this one the most");
@@ -329,6 +327,7 @@
     }
 
     private void abortStream(String outcome) {
+        cancelAttempt();
         finish(outcome, 0);
         request.cut();
     }
@@ -392,9 +391,10 @@
         done = true;
         context.buffers().remove(this);
         timers.cancelAll();
-        int tokensPerEvent = spec.map(ServiceSpec::tokensPerEvent).orElse(1);
-        long used = tokens.end(possibleRuns > 0 || status / 100 == 2, stream.events() * tokensPerEvent);
-        log.requestEnded(outcome, status, attempts, used);
         onDone.accept(this);
+        LoggedTask.run("Accounting for a request", () -> {
+            long used = tokens.end(possibleRuns > 0 || status / 100 == 2, stream.events());
+            log.requestEnded(outcome, status, attempts, used);
+        });
     }
 }
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/TokenReservation.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/TokenReservation.java
@@ -1,6 +1,7 @@
 package io.hornbeamfield.entry.traffic;
 
 import io.hornbeamfield.core.result.ResultCode;
+import io.hornbeamfield.core.route.ServiceSpec;
 import io.hornbeamfield.core.route.WorkspaceAccess;
 import io.hornbeamfield.platform.RequestHead;
 import java.util.Optional;
@@ -22,6 +23,7 @@
     private final RequestHead head;
     private final String workspace;
     private final boolean prepaid;
+    private final int tokensPerEvent;
     private final Listener listener;
     private PrepaidQueue.@Nullable WaitingRequest waiting;
     private long reserved;
@@ -33,11 +35,17 @@
         void onRefused(ResultCode code, String detail, long retryAfterMs);
     }
 
-    TokenReservation(TrafficContext context, RequestHead head, Optional<WorkspaceAccess> workspace, Listener listener) {
+    TokenReservation(
+            TrafficContext context,
+            RequestHead head,
+            Optional<WorkspaceAccess> workspace,
+            Optional<ServiceSpec> spec,
+            Listener listener) {
         this.context = context;
         this.head = head;
         this.workspace = workspace.map(WorkspaceAccess::name).orElse("");
         this.prepaid = workspace.flatMap(WorkspaceAccess::prepaidTokens).isPresent() && head.maxTokens() > 0;
+        this.tokensPerEvent = spec.map(ServiceSpec::tokensPerEvent).orElse(1);
         this.listener = listener;
     }
 
@@ -95,10 +103,10 @@
      * Ends the reservation and settles the used tokens.
      *
      * @param ran whether a server may have run the request, in which case its whole prompt counts as used
-     * @param outputTokens maximum number of output tokens in the forwarded events
+     * @param events number of forwarded events
      * @return the number of used tokens
      */
-    long end(boolean ran, long outputTokens) {
+    long end(boolean ran, long events) {
         PrepaidQueue.WaitingRequest w = waiting;
         if (w != null) {
             waiting = null;
@@ -107,7 +115,7 @@
         if (reserved == 0) {
             return 0;
         }
-        long used = ran ? head.promptTokens() + Math.min(head.maxOutputTokens(), outputTokens) : 0;
+        long used = ran ? head.promptTokens() + Math.min(head.maxOutputTokens(), events * tokensPerEvent) : 0;
         context.book().settle(workspace, reserved, used);
         reserved = 0;
         return used;
--- a/entry/src/test/java/io/hornbeamfield/entry/EntryFixture.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/EntryFixture.java
@@ -120,8 +120,13 @@
 
     /** Starts a daemon without waiting until it is ready. */
     EntryProcess start() {
+        return start(EventLog.none());
+    }
+
+    /** Starts a daemon that has the given log, without waiting until it is ready. */
+    EntryProcess start(EventLog log) {
         EntrySettings s = newSettings(store.address());
-        EntryProcess entry = EntryProcess.start(Path.of("no-settings-file"), s, EventLog.none());
+        EntryProcess entry = EntryProcess.start(Path.of("no-settings-file"), s, log);
         settings.add(s);
         entries.add(entry);
         return entry;
