--- a/entry/src/test/java/io/hornbeamfield/entry/RequestLogTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/RequestLogTest.java
@@ -3,15 +3,13 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.hornbeamfield.platform.standin.FakeBackendServer;
-import java.util.List;
-import java.util.concurrent.CopyOnWriteArrayList;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
 /** Shows that the log tells an answer that could be delivered from one whose connection was closed. */
 final class RequestLogTest {
     private final EntryFixture fleet = new EntryFixture();
-    private final List<String> lines = new CopyOnWriteArrayList<>();
+    private final ObservedLog log = new ObservedLog(line -> {});
 
     @AfterEach
     void stop() {
@@ -22,8 +20,8 @@
     void theLineOfARequestSaysWhetherItsCallerWasConnectedAtItsEnd() {
         FakeBackendServer runner = fleet.runner("i-1", "plain");
         fleet.configure(1);
-        fleet.log(CollectedLog.into(lines));
-        fleet.startReady();
+        EntryProcess entry = fleet.start(log);
+        EntryFixture.await(() -> entry.blackboard().ready());
         fleet.call("POST", "/write/x").all();
         EntryFixture.await(() -> requestLine("answered").contains("\"callerConnected\":1"));
         runner.respondWith(r -> {});
@@ -31,13 +29,13 @@
         EntryFixture.await(() -> runner.receivedRequests().size() == 2);
         leaving.close();
         EntryFixture.await(() -> requestLine("caller-gone").contains("\"callerConnected\":0"));
-        assertThat(lines)
+        assertThat(log.lines())
                 .filteredOn(l -> l.startsWith("{\"event\":\"request\""))
                 .hasSize(2);
     }
 
     private String requestLine(String outcome) {
-        return lines.stream()
+        return log.lines().stream()
                 .filter(l -> l.contains("\"outcome\":\"" + outcome + '"'))
                 .findFirst()
                 .orElse("");
