Refuse requests in time although the control thread of a stopping daemon is late

Callers of a stopping entry daemon whose control thread was busy got a request accepted and passed on to a server after the time at which new ones must be refused. What such a server still has at the end of the grace period is ended; a stream is cut.

Cause: the stage of a stop was a value that a timer advanced, and timers run on the control thread, which also reads lists, configurations and settings. As long as that thread is busy the traffic thread goes on accepting. With graceSeconds 8 the margin is 200 ms.

ShutdownProgress (core) derives the stage from the clock at each decision; the poll only applies a new stage to the requests in progress.

That a control thread was late by more than the margin in the incident is not known.

--- a/entry/src/main/java/io/hornbeamfield/entry/Blackboard.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/Blackboard.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 
 /** State published by the controllers and read by request handling. Each value is an immutable snapshot. */
@@ -25,7 +26,7 @@
     private volatile Set<String> ledgerWriters = Set.of();
     private volatile Quarantine quarantine = Quarantine.none();
     private volatile boolean crashesKnown;
-    private volatile ShutdownStage shutdownStage = ShutdownStage.RUNNING;
+    private volatile Supplier<ShutdownStage> shutdownStage = () -> ShutdownStage.RUNNING;
 
     /**
      * An instance of the fleet.
@@ -129,16 +130,16 @@
 
     /** Returns whether this instance is shutting down. */
     public boolean stopping() {
-        return shutdownStage.isAtLeast(ShutdownStage.ACCEPTING);
+        return shutdownStage().isAtLeast(ShutdownStage.ACCEPTING);
     }
 
     /** Returns how far the shutdown of this instance has come. */
     public ShutdownStage shutdownStage() {
-        return shutdownStage;
+        return shutdownStage.get();
     }
 
-    /** Sets how far the shutdown of this instance has come. */
-    public void shutdownStage(ShutdownStage next) {
+    /** Sets the source of how far the shutdown of this instance has come, which is read at each decision. */
+    public void shutdownStage(Supplier<ShutdownStage> next) {
         shutdownStage = next;
     }
 
--- a/entry/src/main/java/io/hornbeamfield/entry/EntryProcess.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/EntryProcess.java
@@ -1,5 +1,6 @@
 package io.hornbeamfield.entry;
 
+import io.hornbeamfield.core.admission.ShutdownProgress;
 import io.hornbeamfield.core.admission.ShutdownSchedule;
 import io.hornbeamfield.core.admission.ShutdownStage;
 import io.hornbeamfield.core.prepaid.PrepaidHoldings;
@@ -196,12 +197,14 @@
         CompletableFuture<Void> stopped = new CompletableFuture<>();
         shutdown = stopped;
         long startedMs = clock.millis();
-        blackboard.shutdownStage(ShutdownStage.ACCEPTING);
+        ShutdownProgress progress =
+                new ShutdownProgress(clock, () -> ShutdownSchedule.of(live.get().graceMs()));
+        blackboard.shutdownStage(progress::stage);
         control.unregisterSelf();
         log.event("stop").field("openRequests", traffic.openRequests()).write();
         serial.run(() -> {
             traffic.shutdownStageChanged();
-            completeRequests(startedMs, stopped);
+            completeRequests(progress, ShutdownStage.ACCEPTING, startedMs, stopped);
         });
         return stopped;
     }
@@ -210,12 +213,10 @@
         return ShutdownSchedule.of(live.get().graceMs()).exitMs() - (clock.millis() - startedMs);
     }
 
-    private void completeRequests(long startedMs, CompletableFuture<Void> stopped) {
-        ShutdownStage before = blackboard.shutdownStage();
-        ShutdownStage stage = ShutdownSchedule.of(live.get().graceMs()).stageAt(clock.millis() - startedMs);
-        // A longer grace period that is read during the shutdown must not bring an earlier stage back.
-        if (!before.isAtLeast(stage)) {
-            blackboard.shutdownStage(stage);
+    private void completeRequests(
+            ShutdownProgress progress, ShutdownStage before, long startedMs, CompletableFuture<Void> stopped) {
+        ShutdownStage stage = progress.stage();
+        if (stage != before) {
             traffic.shutdownStageChanged();
         }
         boolean idle =
@@ -223,7 +224,7 @@
         if (idle || stage == ShutdownStage.ENDED) {
             returnTokens(startedMs, stopped);
         } else {
-            timers.after(SHUTDOWN_POLL_MS, () -> completeRequests(startedMs, stopped));
+            timers.after(SHUTDOWN_POLL_MS, () -> completeRequests(progress, stage, startedMs, stopped));
         }
     }
 
