Read the answers that have arrived before a stop ends the requests

Callers of a stopping entry daemon that was held up got 504, or a cut stream, although their servers' answers had arrived at the daemon before.

Cause: the poll that finds that the requests are to be ended ended them at once, beside the traffic thread, which had not come to read the answers.

ShutdownProgress.advance ends the requests only at the second poll after the end is due. Each poll follows a full pass over the connections with input (RelayTransport.afterPendingInput); a delay of one poll alone was not enough. An answer that is longer than one read of its connection may need more passes than the one that is certain.

Evidence: HeldUpStopTest.answersThatArriveWhileTheDaemonIsHeldUpAreDelivered holds the daemon while 40 servers' answers arrive, until after the end.

--- a/core/src/main/java/io/hornbeamfield/core/admission/ShutdownProgress.java
+++ b/core/src/main/java/io/hornbeamfield/core/admission/ShutdownProgress.java
@@ -17,6 +17,8 @@
     private final Supplier<ShutdownSchedule> schedule;
     private final long startedMs;
     private ShutdownStage reached = ShutdownStage.ACCEPTING;
+    private boolean endDue;
+    private boolean ended;
 
     /** Starts a shutdown; the schedule may change while it runs. */
     public ShutdownProgress(Clock clock, Supplier<ShutdownSchedule> schedule) {
@@ -31,6 +33,17 @@
         if (!reached.isAtLeast(due)) {
             reached = due;
         }
-        return reached;
+        return reached == ShutdownStage.ENDED && !ended ? ShutdownStage.COMPLETING : reached;
+    }
+
+    /**
+     * Returns the present stage, to be called at intervals. Requests are ended only at the second call after their end
+     * is due, so that responses that arrived while the instance was held up are read before.
+     */
+    public synchronized ShutdownStage advance() {
+        stage();
+        ended = endDue;
+        endDue = reached == ShutdownStage.ENDED;
+        return stage();
     }
 }
--- a/entry/src/main/java/io/hornbeamfield/entry/EntryProcess.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/EntryProcess.java
@@ -215,7 +215,7 @@
 
     private void completeRequests(
             ShutdownProgress progress, ShutdownStage before, long startedMs, CompletableFuture<Void> stopped) {
-        ShutdownStage stage = progress.stage();
+        ShutdownStage stage = progress.advance();
         if (stage != before) {
             traffic.shutdownStageChanged();
         }
@@ -224,7 +224,8 @@
         if (idle || stage == ShutdownStage.ENDED) {
             returnTokens(startedMs, stopped);
         } else {
-            timers.after(SHUTDOWN_POLL_MS, () -> completeRequests(progress, stage, startedMs, stopped));
+            Runnable next = () -> completeRequests(progress, stage, startedMs, stopped);
+            timers.after(SHUTDOWN_POLL_MS, () -> transport.afterPendingInput(next));
         }
     }
 
--- a/net/src/main/java/io/hornbeamfield/net/relay/RelayTransport.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/RelayTransport.java
@@ -46,6 +46,9 @@
     /** Returns the number of response bytes that are queued but not yet written to the sockets of clients. */
     long unsentBytes();
 
+    /** Runs an action after the input that has arrived so far has been handled. Requires a listening socket. */
+    void afterPendingInput(Runnable action);
+
     /** Closes the listening sockets; open connections are not affected. */
     void stopListening();
 
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyRelayTransport.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyRelayTransport.java
@@ -18,6 +18,9 @@
 import org.glassfish.grizzly.filterchain.FilterChain;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.http.KeepAlive;
+import org.glassfish.grizzly.nio.NIOConnection;
+import org.glassfish.grizzly.nio.SelectorHandler;
+import org.glassfish.grizzly.nio.SelectorRunner;
 import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
@@ -130,6 +133,25 @@
         return inbound.unsentBytes();
     }
 
+    @Override
+    public void afterPendingInput(Runnable action) {
+        SelectorRunner runner = ((NIOConnection) listening.get(0)).getSelectorRunner();
+        SelectorHandler handler = transport.getSelectorHandler();
+        // A task that is queued by the reading thread itself runs after the reads of the next selection.
+        handler.enque(runner, () -> enqueue(handler, runner, action), null);
+    }
+
+    private boolean enqueue(SelectorHandler handler, SelectorRunner runner, Runnable action) {
+        handler.enque(
+                runner,
+                () -> {
+                    serial.run(action);
+                    return true;
+                },
+                null);
+        return true;
+    }
+
     @Override
     public void stopListening() {
         listening.forEach(Connection::closeSilently);
