Count the end of a chunked response as unsent until it is written

A stop could end the process while the last chunk of a stream was still queued, so that its caller saw a cut stream.

Cause: RelayTransport.unsentBytes, by which the stop decides that nothing is left to send, counted bodies only. The end of a chunked response, a response without a body and 100 Continue counted as nothing.

Each write counts with the framing of a chunk now.

The cut itself needs a socket that is full exactly at the end of the last part and was not reproduced.

--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyInboundRequest.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyInboundRequest.java
@@ -21,6 +21,9 @@
 final class GrizzlyInboundRequest implements InboundRequest, BufferPool.Holder {
     private static final int FIRST_FINAL_STATUS = 200;
     private static final int SERVICE_UNAVAILABLE = 503;
+    /** Size and line ends of a chunk; without it the end of a chunked response would not count as unsent. */
+    private static final int FRAMING_BYTES = 8;
+
     private static final Header RETRY_AFTER = new Header("Retry-After", "1");
 
     private final Connection<?> connection;
@@ -263,9 +266,10 @@
         if (!connection.isOpen()) {
             return;
         }
-        unsent.addAndGet(length);
+        int bytes = length + FRAMING_BYTES;
+        unsent.addAndGet(bytes);
         // A write fails only if the connection is closed, which handleClose reports.
-        Writes.write(connection, content, () -> written(length), failure -> written(length));
+        Writes.write(connection, content, () -> written(bytes), failure -> written(bytes));
     }
 
     private void written(int length) {
--- a/net/src/test/java/io/hornbeamfield/net/relay/RelayTransportTest.java
+++ b/net/src/test/java/io/hornbeamfield/net/relay/RelayTransportTest.java
@@ -100,6 +100,19 @@
         assertThat(readUntil(s.getInputStream(), "0\r\n\r\n")).contains("two");
     }
 
+    /** Guards against a process that ends while the last chunk of a stream is still queued. */
+    @Test
+    void theEndOfAResponseCountsAsUnsentUntilItIsWritten() throws Exception {
+        int port = listen();
+        connect(port, "GET /s HTTP/1.1\r\nHost: h\r\n\r\n");
+        InboundRequest r = next();
+        r.start(200, List.of());
+        r.write(new byte[16 * 1024 * 1024]);
+        long withoutEnd = transport.unsentBytes();
+        r.end();
+        assertThat(transport.unsentBytes()).isGreaterThan(withoutEnd);
+    }
+
     @Test
     void aStreamThatIsCutDoesNotLookComplete() throws Exception {
         int port = listen();
