Deliver answers whose Keep-Alive header has a number of many digits

Callers got 504 at the timeout of their route although the server had answered.

Cause: the number of seconds in the Keep-Alive header was parsed as a long; a larger one threw after the exchange had been marked as ended, so that nobody heard of the answer.

At most nine digits are read.

--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/Attempt.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/Attempt.java
@@ -13,7 +13,10 @@
 import io.hornbeamfield.platform.Wire;
 import java.io.ByteArrayOutputStream;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.jspecify.annotations.Nullable;
 
 /** One attempt to have a request served by one backend server. */
@@ -26,6 +29,9 @@
 
     private static final int FIRST_SERVER_ERROR = 500;
 
+    /** Further digits make no difference. */
+    private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d{1,9})");
+
     /** A server that crashes when it starts an answer may have sent some events of it. */
     private static final long ANSWER_START_MS = 500;
 
@@ -340,12 +346,8 @@
     }
 
     private long idleLimitMs() {
-        String keepAlive = Header.find(headers, "Keep-Alive").orElse("");
-        int at = keepAlive.indexOf("timeout=");
-        if (at < 0) {
-            return 0;
-        }
-        String digits = keepAlive.substring(at + "timeout=".length()).replaceAll("\\D.*", "");
-        return digits.isEmpty() ? 0 : Long.parseLong(digits) * 1_000;
+        Matcher timeout =
+                KEEP_ALIVE_TIMEOUT.matcher(Header.find(headers, "Keep-Alive").orElse(""));
+        return timeout.find() ? TimeUnit.SECONDS.toMillis(Long.parseLong(timeout.group(1))) : 0;
     }
 }
