Deliver an answer whose Keep-Alive header has a long number

Callers saw a stream with all its events that did not end: it was cut at its deadline, 8 s later. The number was parsed when the answer had ended and did not fit, so that the exception left the attempt open; the connection to the server stayed counted as in use.

KeepAliveTimeout in core reads at most nine digits and cannot fail.

--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/Attempt.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/Attempt.java
@@ -3,6 +3,7 @@
 import io.hornbeamfield.core.attempt.AnswerMatch;
 import io.hornbeamfield.core.attempt.AttemptOutcome;
 import io.hornbeamfield.core.attempt.InputAllowance;
+import io.hornbeamfield.core.attempt.KeepAliveTimeout;
 import io.hornbeamfield.core.discovery.BackendServer;
 import io.hornbeamfield.net.relay.Header;
 import io.hornbeamfield.net.relay.OutboundConnection;
@@ -340,12 +341,6 @@
     }
 
     private long idleLimitMs() {
-        String keepAlive = Header.find(headers, "Keep-Alive").orElse("");
-        int at = keepAlive.indexOf("timeout=");
-        if (at < 0) {
-            return 0;
-        }
-        String digits = keepAlive.substring(at + "timeout=".length()).replaceAll("\\D.*", "");
-        return digits.isEmpty() ? 0 : Long.parseLong(digits) * 1_000;
+        return KeepAliveTimeout.ms(Header.find(headers, "Keep-Alive").orElse(""));
     }
 }
