Leave a silent server only for one that takes the request now

Callers saw a 502, or a stream cut, although their server was about to answer: a silent attempt was ended as soon as another server would take the request within half an objective. When that time came, the other one failed, or could have no room in its rate any more, and the answer of the first had been given up.

Silence now moves a request only to a server that has no pause and room in its rate at that moment. Without one the request stays, and is looked at again after the same time or at the next tick.

AbandonedAnswerTest#aServerIsNotLeftForOneThatWantsNoRequestsYet failed before with 502 and passes now.

--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
@@ -165,13 +165,13 @@
         }
     }
 
-    /** Ends a silent attempt if a further server follows; otherwise the silent one may still respond. */
+    /** Ends a silent attempt if a further server takes the request now; otherwise the silent one may still respond. */
     private void sendElsewhere(Attempt silent, String reason) {
         boolean sent = silent.sent();
         AttemptOutcome outcome = sent ? AttemptOutcome.SILENT : AttemptOutcome.NOT_CONNECTED;
         boolean mayRetry = !sent || context.retries().mayRetry(service);
         NextStep next = AttemptPolicy.next(outcome, state(possibleRuns + (sent ? 1 : 0), mayRetry));
-        if (next == NextStep.SEND_AGAIN || next == NextStep.RESUME) {
+        if (servers.hasUntried(0) && (next == NextStep.SEND_AGAIN || next == NextStep.RESUME)) {
             silent.endAsSilent(reason);
         }
     }
