Read what has arrived before a late timeout counts a server as silent

After the process had been held up, timers ran before the sockets were read: connections that were established, health checks that had been answered and answers that had arrived in time counted as missing. Sound servers were suspended, and requests that may run again left an answer that was in the socket. A tick up to 250 ms late also took servers for silent whose last events had not been read, and moved their streams.

InputTimeout extends a timeout that is handled late once, by as much as it is late and at most 250 ms (TimeoutExtension in core). It is used for connects, health checks and silent attempts. Ticks leave out the time by which they are late (ObservedTime in core). Deadlines are not extended.

With the extension off, inputIsReadBeforeATimeoutThatIsLate and aLateTimeoutIsExtendedByItsLatenessWithinALimit failed; with ObservedTime off, aServerIsNotSilentWhileThisProcessWasHeldUp failed. A whole daemon that is held up was not run.

--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
@@ -77,7 +77,7 @@
         this.deadlineMs = arrivedMs + Math.min(head.timeLeftMs().orElse(Long.MAX_VALUE), route.maxDurationMs());
         this.serverWaitLeftMs = route.objectiveMs() / 2;
         this.onDone = onDone;
-        this.timers = new RequestTimers(context.timers());
+        this.timers = new RequestTimers(context.clock(), context.timers());
         this.tokens = new TokenReservation(context, head, workspace, this);
         this.servers = new ServerSelection(context, service, spec, head);
         this.parts = new PromptParts(context, service, head);
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestTimers.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestTimers.java
@@ -1,16 +1,19 @@
 package io.hornbeamfield.entry.traffic;
 
 import io.hornbeamfield.entry.Timers;
+import java.time.Clock;
 import java.util.concurrent.Future;
 import org.jspecify.annotations.Nullable;
 
 /** Timers of one request: its deadline, and the silence of the server that it was sent to. */
 final class RequestTimers {
+    private final Clock clock;
     private final Timers timers;
     private @Nullable Future<?> deadline;
-    private @Nullable Future<?> silence;
+    private @Nullable InputTimeout silence;
 
-    RequestTimers(Timers timers) {
+    RequestTimers(Clock clock, Timers timers) {
+        this.clock = clock;
         this.timers = timers;
     }
 
@@ -19,21 +22,21 @@
     }
 
     void startSilence(long delayMs, Runnable action) {
-        silence = timers.after(delayMs, action);
+        silence = InputTimeout.start(clock, timers, delayMs, action);
     }
 
     void cancelSilence() {
-        cancel(silence);
+        InputTimeout s = silence;
+        if (s != null) {
+            s.cancel();
+        }
     }
 
     void cancelAll() {
-        cancel(deadline);
-        cancel(silence);
-    }
-
-    private static void cancel(@Nullable Future<?> timer) {
-        if (timer != null) {
-            timer.cancel(false);
+        cancelSilence();
+        Future<?> d = deadline;
+        if (d != null) {
+            d.cancel(false);
         }
     }
 }
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerConnectionPool.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerConnectionPool.java
@@ -192,14 +192,13 @@
     }
 
     /** Returns whether the server has been silent for longer than its requests in flight can explain. */
-    boolean isSilent(long declaredPauseMs) {
-        return silence.isSilent(clock.millis(), declaredPauseMs);
+    boolean isSilent(long observedMs, long declaredPauseMs) {
+        return silence.isSilent(observedMs, declaredPauseMs);
     }
 
     /** Notifies the attempts whose streams are stalled, although the server may send bytes. */
-    void reportStalledStreams() {
-        long now = clock.millis();
-        attempts.stream().filter(a -> a.isStalled(now)).toList().forEach(Attempt::reportServerSilent);
+    void reportStalledStreams(long observedMs) {
+        attempts.stream().filter(a -> a.isStalled(observedMs)).toList().forEach(Attempt::reportServerSilent);
     }
 
     /** Notifies all attempts at this server that it is silent. */
@@ -248,7 +247,7 @@
 
     private void connect(Listener listener) {
         Connecting connecting = new Connecting(listener);
-        timers.after(CONNECT_TIMEOUT_MS, connecting::timedOut);
+        InputTimeout.start(clock, timers, CONNECT_TIMEOUT_MS, connecting::timedOut);
         transport.connect(server.address(), connecting);
     }
 
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerConnectionPools.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerConnectionPools.java
@@ -2,6 +2,7 @@
 
 import io.hornbeamfield.core.attempt.AttemptOutcome;
 import io.hornbeamfield.core.discovery.BackendServer;
+import io.hornbeamfield.core.placement.ObservedTime;
 import io.hornbeamfield.core.placement.ServerNotices;
 import io.hornbeamfield.core.route.ServiceSpec;
 import io.hornbeamfield.entry.Blackboard;
@@ -33,8 +34,10 @@
     /** A health check waits for a slot like any other request, so it may take as long. */
     private static final long CHECK_TIMEOUT_MS = 1_000;
 
-    /** Twice the regular tick interval. */
-    private static final long MAX_TICK_GAP_MS = 500;
+    /** Interval of the ticks. */
+    static final long TICK_MS = 250;
+
+    private static final long MAX_TICK_GAP_MS = 2 * TICK_MS;
 
     private static final int HTTP_OK = 200;
 
@@ -47,6 +50,7 @@
     private final Map<String, ServerConnectionPool> pools = new HashMap<>();
     private final Map<String, Integer> suspensionCounts = new HashMap<>();
     private final Set<String> suspended = new HashSet<>();
+    private final ObservedTime observedTime = new ObservedTime(TICK_MS);
     private long lastTickMs;
 
     ServerConnectionPools(Clock clock, Timers timers, RelayTransport transport, Blackboard blackboard, EventLog log) {
@@ -107,7 +111,7 @@
             return;
         }
         HealthCheck check = new HealthCheck(pool, healthPath);
-        timers.after(CHECK_TIMEOUT_MS, check::timedOut);
+        InputTimeout.start(clock, timers, CHECK_TIMEOUT_MS, check::timedOut);
         pool.acquire(Integer.MAX_VALUE, check);
     }
 
@@ -117,9 +121,13 @@
         // After a pause of this process, data that servers sent in the meantime has not been read yet.
         boolean onSchedule = now - lastTickMs <= MAX_TICK_GAP_MS;
         lastTickMs = now;
+        long observedMs = observedTime.check(now);
         if (onSchedule) {
-            pools.values().stream().filter(this::isSilent).toList().forEach(this::suspendSilent);
-            List.copyOf(pools.values()).forEach(ServerConnectionPool::reportStalledStreams);
+            pools.values().stream()
+                    .filter(p -> isSilent(p, observedMs))
+                    .toList()
+                    .forEach(this::suspendSilent);
+            List.copyOf(pools.values()).forEach(p -> p.reportStalledStreams(observedMs));
         }
         for (Iterator<ServerConnectionPool> i = pools.values().iterator(); i.hasNext(); ) {
             ServerConnectionPool pool = i.next();
@@ -140,12 +148,12 @@
         List.copyOf(pools.values()).forEach(ServerConnectionPool::reportQuarantineChange);
     }
 
-    private boolean isSilent(ServerConnectionPool pool) {
+    private boolean isSilent(ServerConnectionPool pool, long observedMs) {
         long pauseMs = blackboard
                 .config()
                 .map(c -> c.longestEventPauseMs(pool.server().service()))
                 .orElse(0L);
-        return pool.isSilent(pauseMs);
+        return pool.isSilent(observedMs, pauseMs);
     }
 
     private void suspendSilent(ServerConnectionPool pool) {
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/Traffic.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/Traffic.java
@@ -27,8 +27,6 @@
  * }</pre>
  */
 public final class Traffic {
-    private static final long TICK_MS = 250;
-
     /** Leaves room for the copies that are made while buffers grow. */
     private static final long BUFFERS_PER_HEAP = 8;
 
@@ -84,7 +82,7 @@
                         .map(Traffic::inbound)
                         .orElse(InboundLimits.DEFAULT),
                 handler);
-        timers.every(TICK_MS, () -> {
+        timers.every(ServerConnectionPools.TICK_MS, () -> {
             pools.tick();
             transport.sweep();
         });
