--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/Attempt.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/Attempt.java
@@ -3,6 +3,7 @@
 import io.hornbeamfield.core.attempt.AnswerMatch;
 import io.hornbeamfield.core.attempt.AttemptOutcome;
 import io.hornbeamfield.core.attempt.InputAllowance;
+import io.hornbeamfield.core.attempt.KeepAliveTimeout;
 import io.hornbeamfield.core.discovery.BackendServer;
 import io.hornbeamfield.net.relay.Header;
 import io.hornbeamfield.net.relay.OutboundConnection;
@@ -13,10 +14,7 @@
 import io.hornbeamfield.platform.Wire;
 import java.io.ByteArrayOutputStream;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import org.jspecify.annotations.Nullable;
 
 /** One attempt to have a request served by one backend server. */
@@ -29,9 +27,6 @@
 
     private static final int FIRST_SERVER_ERROR = 500;
 
-    /** Further digits make no difference. */
-    private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d{1,9})");
-
     /** A server that crashes when it starts an answer may have sent some events of it. */
     private static final long ANSWER_START_MS = 500;
 
@@ -346,8 +341,6 @@
     }
 
     private long idleLimitMs() {
-        Matcher timeout =
-                KEEP_ALIVE_TIMEOUT.matcher(Header.find(headers, "Keep-Alive").orElse(""));
-        return timeout.find() ? TimeUnit.SECONDS.toMillis(Long.parseLong(timeout.group(1))) : 0;
+        return KeepAliveTimeout.ms(Header.find(headers, "Keep-Alive").orElse(""));
     }
 }
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
@@ -78,7 +78,7 @@
         this.deadlineMs = arrivedMs + Math.min(head.timeLeftMs().orElse(Long.MAX_VALUE), route.maxDurationMs());
         this.serverWaitLeftMs = route.objectiveMs() / 2;
         this.onDone = onDone;
-        this.timers = new RequestTimers(context.timers());
+        this.timers = new RequestTimers(context.clock(), context.timers());
         this.tokens = new TokenReservation(context, head, workspace, spec, this);
         this.servers = new ServerSelection(context, service, spec, head);
         this.parts = new PromptParts(context, service, head);
@@ -157,7 +157,7 @@
             long limit = Math.max(MIN_ATTEMPT_MS, FirstAnswerTimeout.ms(route.retryPolicy(), route.objectiveMs()));
             timers.startSilence(limit, () -> {
                 if (attempt == watched && !stream.started() && watched.status() == 0) {
-                    sendElsewhere(watched, "no answer within " + limit + " ms");
+                    sendElsewhere(watched, 0, "no answer within " + limit + " ms");
                     if (attempt == watched) {
                         scheduleSilenceTimeout(watched);
                     }
@@ -166,13 +166,13 @@
         }
     }
 
-    /** Ends a silent attempt if a further server follows; otherwise the silent one may still respond. */
-    private void sendElsewhere(Attempt silent, String reason) {
+    /** Ends a silent attempt if a further server takes the request in time; otherwise the silent one may still respond. */
+    private void sendElsewhere(Attempt silent, long maxWaitMs, String reason) {
         boolean sent = silent.sent();
         AttemptOutcome outcome = sent ? AttemptOutcome.SILENT : AttemptOutcome.NOT_CONNECTED;
         boolean mayRetry = !sent || context.retries().mayRetry(service);
         NextStep next = AttemptPolicy.next(outcome, state(possibleRuns + (sent ? 1 : 0), mayRetry));
-        if (next == NextStep.SEND_AGAIN || next == NextStep.RESUME) {
+        if (servers.hasUntried(maxWaitMs) && (next == NextStep.SEND_AGAIN || next == NextStep.RESUME)) {
             silent.endAsSilent(reason);
         }
     }
@@ -232,7 +232,7 @@
     @Override
     public void onServerSilent(Attempt silent) {
         if (!done && silent == attempt) {
-            sendElsewhere(silent, "the server is silent");
+            sendElsewhere(silent, serverWaitLeftMs, "the server is silent");
         }
     }
 
