--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
@@ -166,7 +166,9 @@
         }
     }
 
-    /** Ends a silent attempt if a further server takes the request in time; otherwise the silent one may still respond. */
+    /**
+     * Ends a silent attempt if a further server takes the request in time; otherwise the silent one may still respond.
+     */
     private void sendElsewhere(Attempt silent, long maxWaitMs, String reason) {
         boolean sent = silent.sent();
         AttemptOutcome outcome = sent ? AttemptOutcome.SILENT : AttemptOutcome.NOT_CONNECTED;
