Answer requests that follow an answer closely on a kept connection

What callers saw: a request on a kept connection was read and never answered, and the connection stayed open. It could happen to every caller that sends its next request as soon as it has the whole answer to the last one. A caller that sent earlier lost that request always, and a third request got the answer in its place.

Cause: while a request is handled, Grizzly does not read, and takes input that comes all the same for a part of that request. The server reads again as soon as a handler asks for the end of the connection, since it would not notice a caller that leaves otherwise. An answer that is larger than the buffer of a response leaves before the response is completed; input between the two was dropped.

LostRequestTest.aRequestRightAfterAWholeAnswerIsAnswered failed before, and so did the cases of aRequestBeforeTheAnswerToTheLastOneIsAnsweredInOrder; all pass now.

Why this works: a filter in front of the codec holds what is read between the end of a request and the completion of its response, and passes it on afterwards. It reads no further while it holds something, so that at most a few reads of a connection are held.

Not solved: callers that pipeline so that one read holds parts of two requests and more follows.

--- a/net/src/main/java/io/hornbeamfield/net/http/internal/GrizzlyExchange.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/GrizzlyExchange.java
@@ -110,9 +110,12 @@
 
     /**
      * Re-enables reads on the connection. Grizzly stops reading while a request is suspended and would not notice that
-     * the caller closes the connection.
+     * the caller closes the connection. Not while input is held, which shows that the caller is there.
      */
     private static void detectClose(Connection<?> connection) {
+        if (HeldInput.of(connection).isHolding()) {
+            return;
+        }
         try {
             ((NIOConnection) connection).enableIOEvent(IOEvent.READ);
         } catch (IOException e) {
@@ -138,8 +141,10 @@
         // Otherwise a keep-alive connection would hold references to the exchanges of all its past requests.
         Connection<?> connection = request.getConnection();
         closeListeners.forEach(connection::removeCloseListener);
-        if (response.isSuspended()) {
-            response.resume();
-        }
+        HeldInput.of(connection).requestAnswered(() -> {
+            if (response.isSuspended()) {
+                response.resume();
+            }
+        });
     }
 }
--- a/net/src/main/java/io/hornbeamfield/net/http/internal/GrizzlyHttpServer.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/GrizzlyHttpServer.java
@@ -14,6 +14,7 @@
 import org.glassfish.grizzly.http.server.HttpHandler;
 import org.glassfish.grizzly.http.server.NetworkListener;
 import org.glassfish.grizzly.http.server.Request;
+import org.glassfish.grizzly.http.server.RequestExecutorProvider;
 import org.glassfish.grizzly.http.server.Response;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
@@ -47,6 +48,7 @@
         // No idle timeout: a stream may send nothing for longer than any fixed limit.
         listener.getKeepAlive().setIdleTimeoutInSeconds(-1);
         listener.getKeepAlive().setMaxRequestsCount(-1);
+        listener.registerAddOn((l, filters) -> filters.add(1, HeldInput.filter()));
         org.glassfish.grizzly.http.server.HttpServer server = new org.glassfish.grizzly.http.server.HttpServer();
         server.addListener(listener);
         server.getServerConfiguration()
@@ -110,7 +112,22 @@
             Executor workers = connection.getTransport().getWorkerThreadPool();
             // In a thread of its own, since the caller holds locks of another connection.
             Runnable close = () -> workers.execute(connection::terminateSilently);
-            BodyReader.read(request, bodies, close, body -> dispatch(new GrizzlyExchange(request, response, body)));
+            BodyReader.read(request, bodies, close, body -> {
+                HeldInput.of(connection).requestReceived();
+                dispatch(new GrizzlyExchange(request, response, body));
+            });
+        }
+
+        /** Called on the thread that parses the request; the request is handled on another one. */
+        @Override
+        public RequestExecutorProvider getRequestExecutorProvider() {
+            return request -> {
+                Connection<?> connection = request.getContext().getConnection();
+                if (request.getInputBuffer().isFinished()) {
+                    HeldInput.of(connection).requestReceived();
+                }
+                return connection.getTransport().getWorkerThreadPool();
+            };
         }
 
         private void dispatch(GrizzlyExchange exchange) {
