--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
@@ -157,7 +157,7 @@
             long limit = Math.max(MIN_ATTEMPT_MS, FirstAnswerTimeout.ms(route.retryPolicy(), route.objectiveMs()));
             timers.startSilence(limit, () -> {
                 if (attempt == watched && !stream.started() && watched.status() == 0) {
-                    sendElsewhere(watched, 0, "no answer within " + limit + " ms");
+                    sendElsewhere(watched, "no answer within " + limit + " ms");
                     if (attempt == watched) {
                         scheduleSilenceTimeout(watched);
                     }
@@ -166,15 +166,13 @@
         }
     }
 
-    /**
-     * Ends a silent attempt if a further server takes the request in time; otherwise the silent one may still respond.
-     */
-    private void sendElsewhere(Attempt silent, long maxWaitMs, String reason) {
+    /** Ends a silent attempt if a further server takes the request now; otherwise the silent one may still respond. */
+    private void sendElsewhere(Attempt silent, String reason) {
         boolean sent = silent.sent();
         AttemptOutcome outcome = sent ? AttemptOutcome.SILENT : AttemptOutcome.NOT_CONNECTED;
         boolean mayRetry = !sent || context.retries().mayRetry(service);
         NextStep next = AttemptPolicy.next(outcome, state(possibleRuns + (sent ? 1 : 0), mayRetry));
-        if (servers.hasUntried(maxWaitMs) && (next == NextStep.SEND_AGAIN || next == NextStep.RESUME)) {
+        if (servers.hasUntried(0) && (next == NextStep.SEND_AGAIN || next == NextStep.RESUME)) {
             silent.endAsSilent(reason);
         }
     }
@@ -234,7 +232,7 @@
     @Override
     public void onServerSilent(Attempt silent) {
         if (!done && silent == attempt) {
-            sendElsewhere(silent, serverWaitLeftMs, "the server is silent");
+            sendElsewhere(silent, "the server is silent");
         }
     }
 
