Answer pipelined requests in order instead of dropping them

A caller that sent its next request before the answer to the one before lost it: the request was read and dropped, and its connection closed after the first answer, which may come seconds later. A request whose first byte arrived in the same moment as a planned stop was lost in the same way.

Cause: a connection held one request, and InboundFilter discarded the head of any other (RFC 9112, section 9.3.2, asks for answers in order).

Now a connection keeps up to 64 further requests. Only the one whose answer is due is passed to the handler, refusals (413, 431, 505, 400) are sent in turn, and a caller that leaves ends all of them. Beyond 64 KiB, input stays in the socket until these are answered; beyond 64 requests of one read nothing more is read, and the last one that is kept announces the close. Heads and bodies that wait count in the pool of kept input, which may refuse them, because they have not run. A leaving process announces its close with the last answer.

While input waits in the socket, the departure of its caller is seen late.

--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/ConnectionInput.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/ConnectionInput.java
@@ -78,6 +78,12 @@
         }
     }
 
+    /** Records that the last read is not parsed. */
+    void discarded() {
+        bytesWithoutContent = 0;
+        clearKept();
+    }
+
     /** Records what the codec made of the input: a head, a part of a body, or nothing yet. */
     void parsed(HttpContent content) {
         readSize.partHandled();
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyInboundRequest.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyInboundRequest.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpRequestPacket;
@@ -21,6 +22,9 @@
 final class GrizzlyInboundRequest implements InboundRequest, BufferPool.Holder {
     private static final int FIRST_FINAL_STATUS = 200;
     private static final int SERVICE_UNAVAILABLE = 503;
+    /** Memory of the objects of a head beside its bytes. */
+    private static final int HEAD_COST_BYTES = 4 * 1024;
+
     private static final Header RETRY_AFTER = new Header("Retry-After", "1");
 
     private final Connection<?> connection;
@@ -32,6 +36,7 @@
     private final boolean hasQuery;
     private final List<Header> headers;
     private final BufferPool input;
+    private final Consumer<GrizzlyInboundRequest> beginNext;
     private ByteArrayOutputStream receivedBody = new ByteArrayOutputStream();
     private byte[] body = new byte[0];
     private boolean complete;
@@ -39,6 +44,11 @@
     private boolean finished;
     private boolean disconnected;
     private boolean closeAfter;
+    /** Whether the connection is closed after this response unless further requests have arrived. */
+    private boolean closeIfLast;
+
+    /** Status with which the request is refused, 0 if it is not. */
+    private int refusal;
     /** Whether the end of the connection is the end of the response, so that it must be reset to cut the response. */
     private boolean delimitedByClose;
 
@@ -46,11 +56,17 @@
     private final AtomicLong unsent;
     private @Nullable Runnable disconnectAction;
 
-    GrizzlyInboundRequest(Connection<?> connection, HttpRequestPacket head, InboundState state, BufferPool input) {
+    GrizzlyInboundRequest(
+            Connection<?> connection,
+            HttpRequestPacket head,
+            InboundState state,
+            BufferPool input,
+            Consumer<GrizzlyInboundRequest> beginNext) {
         this.connection = connection;
         this.head = head;
         this.state = state;
         this.input = input;
+        this.beginNext = beginNext;
         this.unsent = state.unsent();
         this.method = head.getMethod().getMethodString();
         this.path = head.getRequestURI();
@@ -107,6 +123,9 @@
         if (part.length > 0) {
             input.add(this);
             receivedBody.writeBytes(part);
+            if (isWaiting()) {
+                state.waitingGrown(part.length);
+            }
             input.grown(part.length);
         }
     }
@@ -123,28 +142,65 @@
 
     @Override
     public long bufferedBytes() {
-        return body.length + receivedBody.size();
+        return body.length + receivedBody.size() + (isWaiting() ? headerBytes() + HEAD_COST_BYTES : 0);
     }
 
-    /** Only a request that is not complete has not run for certain. */
+    private boolean isWaiting() {
+        return !finished && state.current() != this;
+    }
+
+    /** Counts the head of a request that waits for the responses before it. */
+    void keepHead() {
+        if (isWaiting()) {
+            int bytes = headerBytes() + HEAD_COST_BYTES;
+            state.waitingGrown(bytes);
+            input.add(this);
+            input.grown(bytes);
+        }
+    }
+
+    /** Only a request that is not complete or waits has not run for certain. */
     @Override
     public boolean mayBeReleased() {
-        return !complete;
+        return !complete || isWaiting();
     }
 
     /** Refuses the request, because the requests of all callers occupy too much memory, and this one the most. */
     @Override
     public void release() {
+        refuse(SERVICE_UNAVAILABLE);
+        if (!isWaiting()) {
+            replyRefusal();
+        }
+    }
+
+    /** Refuses the request once the responses before it are complete, and reads nothing after it. */
+    void refuse(int status) {
+        refusal = status;
         closeAfter = true;
-        reply(SERVICE_UNAVAILABLE, List.of(RETRY_AFTER), new byte[0]);
+        body = new byte[0];
+        receivedBody = new ByteArrayOutputStream(0);
+        state.stopReading();
     }
 
-    boolean isComplete() {
-        return complete;
+    boolean isRefused() {
+        return refusal > 0;
+    }
+
+    void replyRefusal() {
+        if (!started) {
+            // The rest of the request must not be parsed as another one.
+            reply(refusal, refusal == SERVICE_UNAVAILABLE ? List.of(RETRY_AFTER) : List.of(), new byte[0]);
+        }
+    }
+
+    /** Closes the connection after the response, whatever has arrived after the request. */
+    void closeInAnyCase() {
+        closeAfter = true;
     }
 
-    boolean responseStarted() {
-        return started;
+    boolean isComplete() {
+        return complete;
     }
 
     void connectionClosed() {
@@ -241,6 +297,7 @@
         response.setAcknowledgement(false);
         response.setStatus(HttpStatus.getHttpStatus(Math.max(status, FIRST_FINAL_STATUS)));
         responseHeaders.forEach(h -> response.addHeader(h.name(), h.value()));
+        closeAfter |= closeIfLast && !state.hasWaiting();
         if (closeAfter) {
             head.getProcessingState().setKeepAlive(false);
         }
@@ -294,9 +351,11 @@
         finished = true;
         input.remove(this);
         disconnectAction = null;
-        state.requestFinished();
-        if (closeAfter) {
-            state.stopReading();
+        if (!closeAfter && !(closeIfLast && !state.hasWaiting())) {
+            state.requestFinished(beginNext);
+        } else {
+            state.discardInput();
+            state.requestFinished(beginNext);
             if (!delimitedByClose) {
                 connection.closeSilently();
             }
@@ -321,6 +380,6 @@
 
     @Override
     public void closeAfterAnswer() {
-        closeAfter = true;
+        closeIfLast = true;
     }
 }
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundConnectionFilter.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundConnectionFilter.java
@@ -32,6 +32,10 @@
         InboundState state = InboundConnections.stateOf(ctx.getConnection());
         if (state != null) {
             serial.run(state::bytesReceived);
+            if (state.isReadingStopped()) {
+                ConnectionInput.of(ctx.getConnection()).discarded();
+                return ctx.getStopAction();
+            }
         }
         return ctx.getInvokeAction();
     }
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundFilter.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundFilter.java
@@ -4,7 +4,6 @@
 import io.hornbeamfield.net.relay.InboundHandler;
 import io.hornbeamfield.net.relay.InboundLimits;
 import io.hornbeamfield.net.relay.Serial;
-import java.util.List;
 import java.util.function.Supplier;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
@@ -59,56 +58,54 @@
             return;
         }
         HttpRequestPacket head = (HttpRequestPacket) content.getHttpHeader();
-        GrizzlyInboundRequest request = state.current();
-        if (request == null) {
-            request = new GrizzlyInboundRequest(connection, head, state, input);
-            state.requestStarted(request);
+        GrizzlyInboundRequest request = state.last();
+        if (request == null || !request.isReceiving(head)) {
+            request = new GrizzlyInboundRequest(connection, head, state, input, this::proceed);
+            if (!state.add(request)) {
+                return;
+            }
             checkHead(request, head);
-        } else if (!request.isReceiving(head)) {
-            // Pipelined request: it is not read, and the caller learns so when the connection closes.
-            request.closeAfterAnswer();
-            return;
+            request.keepHead();
         }
-        if (request.responseStarted()) {
-            return;
+        if (!request.isRefused()) {
+            request.append(bytes(content.getContent()));
+            if (request.bodyLength() > limits.get().maxBodyBytes()) {
+                request.refuse(CONTENT_TOO_LARGE);
+            } else if (content.isLast() && !request.isRefused()) {
+                request.markComplete();
+            }
         }
-        request.append(bytes(content.getContent()));
-        if (request.responseStarted()) {
-            return;
+        if (request == state.current()) {
+            proceed(request);
         }
-        if (request.bodyLength() > limits.get().maxBodyBytes()) {
-            reject(request, CONTENT_TOO_LARGE);
-        } else if (content.isLast()) {
-            request.markComplete();
-            handler.handle(request);
+    }
+
+    /** Goes on with the request whose answer is due. */
+    private void proceed(GrizzlyInboundRequest request) {
+        if (request.isRefused()) {
+            request.replyRefusal();
+        } else {
+            request.sendContinueIfExpected();
+            if (request.isComplete()) {
+                handler.handle(request);
+            }
         }
     }
 
     private void checkHead(GrizzlyInboundRequest request, HttpRequestPacket head) {
         if (request.headerBytes() > limits.get().maxHeaderBytes()) {
-            reject(request, HEADERS_TOO_LARGE);
+            request.refuse(HEADERS_TOO_LARGE);
         } else if (!request.isSupportedVersion()) {
-            reject(request, VERSION_NOT_SUPPORTED);
+            request.refuse(VERSION_NOT_SUPPORTED);
         } else if (!RequestCheck.isUnambiguous(request.headers())) {
-            reject(request, BAD_REQUEST);
+            request.refuse(BAD_REQUEST);
         } else if (request.declaredContentLength() > limits.get().maxBodyBytes()) {
-            reject(request, CONTENT_TOO_LARGE);
-        } else {
-            if (RequestCodecFilter.hadLengthAndChunks(head)) {
-                request.closeAfterAnswer();
-            }
-            request.sendContinueIfExpected();
+            request.refuse(CONTENT_TOO_LARGE);
+        } else if (RequestCodecFilter.hadLengthAndChunks(head)) {
+            request.closeInAnyCase();
         }
     }
 
-    /**
-     * Answers with an error and closes the connection, so that the rest of the request is not parsed as another one.
-     */
-    private static void reject(GrizzlyInboundRequest request, int status) {
-        request.closeAfterAnswer();
-        request.reply(status, List.of(), new byte[0]);
-    }
-
     private static byte[] bytes(@Nullable Buffer buffer) {
         if (buffer == null || !buffer.hasRemaining()) {
             return new byte[0];
@@ -123,12 +120,7 @@
         InboundState state = InboundConnections.stateOf(ctx.getConnection());
         if (state != null) {
             connections.remove(state);
-            serial.run(() -> {
-                GrizzlyInboundRequest request = state.current();
-                if (request != null) {
-                    request.connectionClosed();
-                }
-            });
+            serial.run(state::connectionClosed);
         }
         return ctx.getInvokeAction();
     }
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundState.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundState.java
@@ -6,23 +6,36 @@
 import io.hornbeamfield.net.relay.Serial;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.IOEvent;
 import org.jspecify.annotations.Nullable;
 
-/** State of a client connection: the request in progress, and how long it has waited for input. */
+/** State of a client connection: its requests in the order of their answers, and how long it has waited for input. */
 final class InboundState {
+    /** Bounds the objects that one read can create. */
+    private static final int MAX_WAITING = 64;
+
+    /** Further input stays in the socket. */
+    private static final int MAX_WAITING_BYTES = 64 * 1024;
+
     private final Connection<?> connection;
     private final Supplier<InboundLimits> limits;
     private final Serial serial;
     private final InputTimeout timeout = new InputTimeout(MonotonicClock.start());
     private final AtomicLong unsent = new AtomicLong();
+    /** Pipelined requests, which are answered after the current one. */
+    private final Deque<GrizzlyInboundRequest> waiting = new ArrayDeque<>();
+
     private @Nullable GrizzlyInboundRequest current;
+    private int waitingBytes;
     private long reads;
-    private boolean readingStopped;
+    private volatile boolean readingStopped;
     private boolean checkPending;
 
     /** Creates the state of a connection; all calls other than those that say so run under the serial. */
@@ -39,31 +52,111 @@
 
     void bytesReceived() {
         reads++;
-        if (current == null) {
+        if (isFree()) {
             timeout.headReceived();
         } else {
             timeout.active();
         }
     }
 
-    void requestStarted(GrizzlyInboundRequest request) {
-        current = request;
+    private boolean isFree() {
+        return current == null && waiting.isEmpty();
+    }
+
+    /** Returns the request whose body is being received, or the last one if there is none. */
+    @Nullable
+    GrizzlyInboundRequest last() {
+        return waiting.isEmpty() ? current : waiting.getLast();
+    }
+
+    /** Adds a request. Returns false if too many wait; no further input is read then. */
+    boolean add(GrizzlyInboundRequest request) {
         timeout.headEnded();
+        if (isFree()) {
+            current = request;
+        } else if (waiting.size() < MAX_WAITING) {
+            waiting.add(request);
+        } else {
+            stopReading();
+            waiting.getLast().closeInAnyCase();
+            return false;
+        }
+        return true;
+    }
+
+    boolean hasWaiting() {
+        return !waiting.isEmpty();
+    }
+
+    /** Records bytes of a request that waits. */
+    void waitingGrown(int bytes) {
+        waitingBytes += bytes;
+        if (waitingBytes > MAX_WAITING_BYTES && !readingStopped) {
+            setReading(false);
+        }
+    }
+
+    private void setReading(boolean enabled) {
+        try {
+            if (enabled) {
+                connection.enableIOEvent(IOEvent.READ);
+            } else {
+                connection.disableIOEvent(IOEvent.READ);
+            }
+        } catch (IOException e) {
+            // The connection is closed, which handleClose reports.
+            return;
+        }
     }
 
     /** Discards further input, because the connection is about to be closed. */
     void stopReading() {
         readingStopped = true;
+        // Input that is not read would reset the connection when it is closed.
+        setReading(true);
     }
 
     boolean isReadingStopped() {
         return readingStopped;
     }
 
-    void requestFinished() {
+    /** Ends the current request and begins the next one, if there is one. */
+    void requestFinished(Consumer<GrizzlyInboundRequest> begin) {
         current = null;
         timeout.headEnded();
         timeout.active();
+        if (hasWaiting()) {
+            inReadingThread(() -> beginNext(begin));
+        }
+    }
+
+    private void beginNext(Consumer<GrizzlyInboundRequest> begin) {
+        GrizzlyInboundRequest next = current == null ? waiting.poll() : null;
+        if (next == null) {
+            return;
+        }
+        current = next;
+        if (waiting.isEmpty()) {
+            waitingBytes = 0;
+            setReading(true);
+        }
+        begin.accept(next);
+    }
+
+    /** Discards the requests that wait and further input, because the connection is about to be closed. */
+    void discardInput() {
+        stopReading();
+        waiting.forEach(GrizzlyInboundRequest::connectionClosed);
+        waiting.clear();
+    }
+
+    /** Reports to all requests that the connection has been closed. */
+    void connectionClosed() {
+        discardInput();
+        GrizzlyInboundRequest request = current;
+        if (request != null) {
+            request.connectionClosed();
+        }
     }
 
     /** Returns the number of response bytes that are queued but not yet written to the socket. */
@@ -79,7 +172,7 @@
     }
 
     private boolean isIdle() {
-        return current == null && !timeout.isHeadStarted() && unsent.get() == 0;
+        return isFree() && !timeout.isHeadStarted() && unsent.get() == 0;
     }
 
     /** Closes the connection if it has waited too long for input. */
@@ -95,7 +188,7 @@
 
     private boolean hasTimedOut() {
         GrizzlyInboundRequest request = current;
-        if (request != null && request.isComplete()) {
+        if (hasWaiting() || (request != null && request.isComplete())) {
             return false;
         }
         if (request == null && unsent.get() > 0) {
