--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestTimers.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestTimers.java
@@ -10,7 +10,7 @@
     private final Clock clock;
     private final Timers timers;
     private @Nullable Future<?> deadline;
-    private @Nullable InputTimeout silence;
+    private @Nullable ServerTimeout silence;
 
     RequestTimers(Clock clock, Timers timers) {
         this.clock = clock;
@@ -22,11 +22,11 @@
     }
 
     void startSilence(long delayMs, Runnable action) {
-        silence = InputTimeout.start(clock, timers, delayMs, action);
+        silence = ServerTimeout.start(clock, timers, delayMs, action);
     }
 
     void cancelSilence() {
-        InputTimeout s = silence;
+        ServerTimeout s = silence;
         if (s != null) {
             s.cancel();
         }
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerConnectionPool.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerConnectionPool.java
@@ -247,7 +247,7 @@
 
     private void connect(Listener listener) {
         Connecting connecting = new Connecting(listener);
-        InputTimeout.start(clock, timers, CONNECT_TIMEOUT_MS, connecting::timedOut);
+        ServerTimeout.start(clock, timers, CONNECT_TIMEOUT_MS, connecting::timedOut);
         transport.connect(server.address(), connecting);
     }
 
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerConnectionPools.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerConnectionPools.java
@@ -111,7 +111,7 @@
             return;
         }
         HealthCheck check = new HealthCheck(pool, healthPath);
-        InputTimeout.start(clock, timers, CHECK_TIMEOUT_MS, check::timedOut);
+        ServerTimeout.start(clock, timers, CHECK_TIMEOUT_MS, check::timedOut);
         pool.acquire(Integer.MAX_VALUE, check);
     }
 
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/InputTimeout.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerTimeout.java
@@ -6,14 +6,14 @@
 import java.util.concurrent.Future;
 
 /** A timeout for input from a server. It is extended once if this process was held up when it was due. */
-final class InputTimeout {
+final class ServerTimeout {
     private final Clock clock;
     private final Timers timers;
     private final Runnable action;
     private final long dueMs;
     private Future<?> timer;
 
-    private InputTimeout(Clock clock, Timers timers, long delayMs, Runnable action) {
+    private ServerTimeout(Clock clock, Timers timers, long delayMs, Runnable action) {
         this.clock = clock;
         this.timers = timers;
         this.action = action;
@@ -22,8 +22,8 @@
     }
 
     /** Runs an action after a delay unless the timeout is cancelled before. */
-    static InputTimeout start(Clock clock, Timers timers, long delayMs, Runnable action) {
-        return new InputTimeout(clock, timers, delayMs, action);
+    static ServerTimeout start(Clock clock, Timers timers, long delayMs, Runnable action) {
+        return new ServerTimeout(clock, timers, delayMs, action);
     }
 
     private void onDue() {
--- a/entry/src/test/java/io/hornbeamfield/entry/traffic/InputTimeoutTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/traffic/ServerTimeoutTest.java
@@ -13,7 +13,7 @@
 import org.junit.jupiter.api.Test;
 
 /** Guards against a timeout that ends an attempt before the answer that has arrived in the meantime is read. */
-final class InputTimeoutTest {
+final class ServerTimeoutTest {
     private static final long DELAY_MS = 100;
 
     private final ScheduledThreadPoolExecutor executor = new ScheduledThreadPoolExecutor(1);
@@ -26,13 +26,13 @@
         executor.shutdownNow();
     }
 
-    private InputTimeout startTimeout() {
-        return InputTimeout.start(Clock.systemUTC(), timers, DELAY_MS, ended::countDown);
+    private ServerTimeout startTimeout() {
+        return ServerTimeout.start(Clock.systemUTC(), timers, DELAY_MS, ended::countDown);
     }
 
     @Test
     void inputIsReadBeforeATimeoutThatIsLate() throws InterruptedException {
-        InputTimeout timeout = startTimeout();
+        ServerTimeout timeout = startTimeout();
         AtomicBoolean read = new AtomicBoolean();
         serial.run(() -> {
             sleep(6 * DELAY_MS);
--- a/net/src/test/java/io/hornbeamfield/net/http/LostRequestTest.java
+++ b/net/src/test/java/io/hornbeamfield/net/http/KeptConnectionTest.java
@@ -27,7 +27,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against requests on a kept connection that the server reads and never answers. */
-final class LostRequestTest {
+final class KeptConnectionTest {
     private static final int TIMEOUT_MS = 10_000;
     private static final int ANSWER_DELAY_MS = 150;
     private static final int PAUSE_MS = 20;
