--- a/net/src/test/java/io/hornbeamfield/net/relay/LostRequestTest.java
+++ b/net/src/test/java/io/hornbeamfield/net/relay/LostRequestTest.java
@@ -98,6 +98,14 @@
         assertThat(held.await(TIMEOUT_MS, TimeUnit.MILLISECONDS)).isTrue();
     }
 
+    private static void await(CountDownLatch latch) {
+        try {
+            assertThat(latch.await(TIMEOUT_MS, TimeUnit.MILLISECONDS)).isTrue();
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
     private static void sleep(long ms) {
         try {
             Thread.sleep(ms);
@@ -110,11 +118,14 @@
     void aRequestThatArrivedInTimeIsServedAfterTheProcessWasHeldUp() throws Exception {
         Socket kept = keptConnections(transport.listen("127.0.0.1:0", () -> SHORT_LIMITS, this::answer), 1)
                 .get(0);
+        CountDownLatch sent = new CountDownLatch(1);
         holdUp(() -> {
             sleep(HELD_UP_MS);
+            await(sent);
             transport.sweep();
         });
         send(kept, "/second");
+        sent.countDown();
         assertThat(readAnswer(kept)).startsWith("HTTP/1.1 200").endsWith("answered");
     }
 
@@ -125,11 +136,7 @@
         CountDownLatch sent = new CountDownLatch(1);
         holdUp(() -> {
             transport.closeIdle();
-            try {
-                assertThat(sent.await(TIMEOUT_MS, TimeUnit.MILLISECONDS)).isTrue();
-            } catch (InterruptedException e) {
-                throw new AssertionError(e);
-            }
+            await(sent);
         });
         send(kept, "/second");
         sent.countDown();
@@ -142,13 +149,7 @@
         List<Socket> kept = keptConnections(transport.listen("127.0.0.1:0", () -> limits, this::answer), 20);
         int before = handled.get();
         CountDownLatch sent = new CountDownLatch(1);
-        holdUp(() -> {
-            try {
-                assertThat(sent.await(TIMEOUT_MS, TimeUnit.MILLISECONDS)).isTrue();
-            } catch (InterruptedException e) {
-                throw new AssertionError(e);
-            }
-        });
+        holdUp(() -> await(sent));
         Thread control = new Thread(() -> serial.run(() -> {
             sleep(HELD_UP_MS);
             limits = new InboundLimits(4_096, 1_000, 60_000, 1);
@@ -165,6 +166,8 @@
             answered += readAnswer(s).endsWith("answered") ? 1 : 0;
         }
         control.join();
+        // All of them were in their sockets before the limit was lowered.
+        assertThat(answered).isEqualTo(kept.size());
         // The request by which the reading thread is held up counts, too.
         assertThat(handled.get() - before - 1).isEqualTo(answered);
     }
