--- a/net/src/test/java/io/hornbeamfield/net/relay/PipelinedRequestTest.java
+++ b/net/src/test/java/io/hornbeamfield/net/relay/PipelinedRequestTest.java
@@ -131,6 +131,16 @@
         assertThat(requests).isEmpty();
     }
 
+    /** The codec refuses a malformed chunk at once, in place of the answer to the request that is in progress. */
+    @Test
+    void aMalformedRequestDoesNotTakeTheAnswerOfTheOneBefore() throws Exception {
+        Socket s = connect(get("/1") + "POST /2 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n");
+        InboundRequest first = next();
+        Thread.sleep(100);
+        answer(first);
+        assertThat(readAll(s)).startsWith("HTTP/1.1 200").contains("</1>");
+    }
+
     @Test
     void aPipelinedRequestThatIsTooLargeIsRefusedInItsTurn() throws Exception {
         Socket s = connect(get("/1") + "POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 20001\r\n\r\n" + get("/hidden"));
