Write what arrives while the last batch of a log is written

An interrupt during a write ended the loop without a last look at what had arrived, so that the line of the end of a process could still be missing (review).

--- a/entry/src/main/java/io/hornbeamfield/entry/LoggedTask.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/LoggedTask.java
@@ -3,8 +3,8 @@
 import org.jboss.logging.Logger;
 
 /**
- * Runs a task whose failure must not affect others. An executor drops a periodic task that throws, and keeps its
- * exception to itself.
+ * Runs a task whose failure must not affect others. An executor cancels a periodic task that throws, and does not log
+ * the exception.
  *
  * <pre>{@code
  * executor.scheduleWithFixedDelay(() -> LoggedTask.run("Reading the list", list::read), 200, 200, MILLISECONDS);
--- a/entry/src/main/java/io/hornbeamfield/entry/StdoutEventLog.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/StdoutEventLog.java
@@ -64,7 +64,8 @@
     private void writeLines() {
         List<String> batch = new ArrayList<>();
         try {
-            while (!Thread.currentThread().isInterrupted()) {
+            // An interrupt during a write ends the next take, so that what has arrived until then is written, too.
+            while (true) {
                 batch.add(lines.take());
                 Thread.sleep(FLUSH_INTERVAL_MS);
                 lines.drainTo(batch);
--- a/router/src/test/java/io/hornbeamfield/router/traffic/UnansweredAfterFaultTest.java
+++ b/router/src/test/java/io/hornbeamfield/router/traffic/UnansweredAfterFaultTest.java
@@ -29,7 +29,7 @@
         other.close();
     }
 
-    /** The reservation's future kept the fault, so that nobody saw it. */
+    /** A future keeps the exception of its action, so that the request had no end. */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
     void aModelRequestIsAnsweredIfItsEngineHasNoValidAddress(boolean stream) {
