Close a connection whose caller pipelines without end

Callers that pipelined without end kept their connections: reading paused while requests waited and went on afterwards, so that nothing ended them.

Beyond 64 requests or 512 KiB that wait, no further request is read now, and the connection closes after the last answer.

--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundState.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundState.java
@@ -21,8 +21,8 @@
     /** Bounds the objects that one read can create. */
     private static final int MAX_WAITING = 64;
 
-    /** Further input stays in the socket. */
-    private static final int MAX_WAITING_BYTES = 64 * 1024;
+    /** Bounds what one caller keeps of the memory for requests of all callers. */
+    private static final int MAX_WAITING_BYTES = 512 * 1024;
 
     private final Connection<?> connection;
     private final Supplier<InboundLimits> limits;
@@ -69,12 +69,12 @@
         return waiting.isEmpty() ? current : waiting.getLast();
     }
 
-    /** Adds a request. Returns false if too many wait; no further input is read then. */
+    /** Adds a request. Returns false if too many wait; the connection is closed once these are answered. */
     boolean add(GrizzlyInboundRequest request) {
         timeout.headEnded();
         if (isFree()) {
             current = request;
-        } else if (waiting.size() < MAX_WAITING) {
+        } else if (waiting.size() < MAX_WAITING && waitingBytes <= MAX_WAITING_BYTES) {
             waiting.add(request);
         } else {
             stopReading();
@@ -91,29 +91,11 @@
     /** Records bytes of a request that waits. */
     void waitingGrown(int bytes) {
         waitingBytes += bytes;
-        if (waitingBytes > MAX_WAITING_BYTES && !readingStopped) {
-            setReading(false);
-        }
-    }
-
-    private void setReading(boolean enabled) {
-        try {
-            if (enabled) {
-                connection.enableIOEvent(IOEvent.READ);
-            } else {
-                connection.disableIOEvent(IOEvent.READ);
-            }
-        } catch (IOException e) {
-            // The connection is closed, which handleClose reports.
-            return;
-        }
     }
 
     /** Discards further input, because the connection is about to be closed. */
     void stopReading() {
         readingStopped = true;
-        // Input that is not read would reset the connection when it is closed.
-        setReading(true);
     }
 
     boolean isReadingStopped() {
@@ -138,7 +120,6 @@
         current = next;
         if (waiting.isEmpty()) {
             waitingBytes = 0;
-            setReading(true);
         }
         begin.accept(next);
     }
