Keep a test's socket open until its assertions are done

Its socket was not referenced any more, and the garbage collector closed it: with a collection put in before the last assertion the test fails, and with the socket kept it passes in spite of it (one run each).

--- a/net/src/test/java/io/hornbeamfield/net/relay/RelayTransportTest.java
+++ b/net/src/test/java/io/hornbeamfield/net/relay/RelayTransportTest.java
@@ -104,13 +104,16 @@
     @Test
     void theEndOfAResponseCountsAsUnsentUntilItIsWritten() throws Exception {
         int port = listen();
-        connect(port, "GET /s HTTP/1.1\r\nHost: h\r\n\r\n");
-        InboundRequest r = next();
-        r.start(200, List.of());
-        r.write(new byte[16 * 1024 * 1024]);
-        long withoutEnd = transport.unsentBytes();
-        r.end();
-        assertThat(transport.unsentBytes()).isGreaterThan(withoutEnd);
+        // A socket that is not referenced any more would be closed by the garbage collector.
+        try (Socket s = connect(port, "GET /s HTTP/1.1\r\nHost: h\r\n\r\n")) {
+            InboundRequest r = next();
+            r.start(200, List.of());
+            r.write(new byte[16 * 1024 * 1024]);
+            long withoutEnd = transport.unsentBytes();
+            r.end();
+            assertThat(transport.unsentBytes()).isGreaterThan(withoutEnd);
+            assertThat(s.isClosed()).isFalse();
+        }
     }
 
     @Test
