Hand a request over once the end of its connection would have been read

Cause: a request was passed on in the middle of the reads of a selection, so that the end of its connection, already in the socket behind it, was read too late. Held-up instances (0.12 of a core) have both in the socket when they go on.

Change: the reading thread reads all that has arrived on the connection before it hands the request over, and a request without a caller is logged as caller-gone. A failing handler ends its connection as before, now with a log line.

--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/RelayHandler.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/RelayHandler.java
@@ -47,7 +47,9 @@
         if (context.blackboard().stopping()) {
             request.closeAfterAnswer();
         }
-        if (context.blackboard().shutdownStage().isAtLeast(ShutdownStage.REFUSING)) {
+        if (request.callerGone()) {
+            logEnd(request, head, "caller-gone", 0);
+        } else if (context.blackboard().shutdownStage().isAtLeast(ShutdownStage.REFUSING)) {
             refuse(request, head, ResultCode.LEAVING, LEAVING_DETAIL, OTHER_INSTANCE_RETRY_AFTER_MS);
         } else if (config.isEmpty()) {
             refuse(
@@ -110,7 +112,11 @@
 
     private void refuse(InboundRequest request, RequestHead head, ResultCode code, String detail, long retryAfterMs) {
         Responses.refuse(request, code, detail, retryAfterMs);
-        context.metrics().counter("requests." + code.name()).inc();
+        logEnd(request, head, code.name(), code.httpStatus());
+    }
+
+    private void logEnd(InboundRequest request, RequestHead head, String outcome, int status) {
+        context.metrics().counter("requests." + outcome).inc();
         context.log()
                 .event("request")
                 .field("id", head.attemptId())
@@ -118,8 +124,8 @@
                 .field(
                         "config",
                         context.blackboard().config().map(RouteConfig::version).orElse(-1L))
-                .field("outcome", code.name())
-                .field("status", code.httpStatus())
+                .field("outcome", outcome)
+                .field("status", status)
                 .write();
     }
 }
--- a/net/src/main/java/io/hornbeamfield/net/relay/InboundRequest.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/InboundRequest.java
@@ -36,6 +36,12 @@
     /** Registers an action to run if the caller's connection closes before the response is complete. */
     void onCallerGone(Runnable action);
 
+    /**
+     * Runs an action after the input that has arrived from the caller so far has been handled, so that
+     * {@link #callerGone} is true in it if the caller had closed its connection before.
+     */
+    void afterPendingInput(Runnable action);
+
     /** Sends a complete response. */
     void reply(int status, List<Header> headers, byte[] body);
 
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyInboundRequest.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyInboundRequest.java
@@ -264,6 +264,11 @@
         }
     }
 
+    @Override
+    public void afterPendingInput(Runnable action) {
+        state.afterPendingInput(action);
+    }
+
     @Override
     public void reply(int status, List<Header> responseHeaders, byte[] bytes) {
         if (started) {
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyRelayTransport.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyRelayTransport.java
@@ -19,7 +19,6 @@
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.http.KeepAlive;
 import org.glassfish.grizzly.nio.NIOConnection;
-import org.glassfish.grizzly.nio.SelectorHandler;
 import org.glassfish.grizzly.nio.SelectorRunner;
 import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
@@ -31,6 +30,9 @@
 public final class GrizzlyRelayTransport implements RelayTransport {
     private static final int ACCEPT_BACKLOG = 1_024;
 
+    /** A request is read after one selection, and handled after the tasks that were queued before it. */
+    private static final int SELECTIONS_BEFORE_HANDLED = 2;
+
     private final TCPNIOTransport transport;
     private final Serial serial;
     private final InboundConnections inbound = new InboundConnections();
@@ -136,20 +138,24 @@
     @Override
     public void afterPendingInput(Runnable action) {
         SelectorRunner runner = ((NIOConnection) listening.get(0)).getSelectorRunner();
-        SelectorHandler handler = transport.getSelectorHandler();
-        // A task that is queued by the reading thread itself runs after the reads of the next selection.
-        handler.enque(runner, () -> enqueue(handler, runner, action), null);
+        enqueue(runner, SELECTIONS_BEFORE_HANDLED, () -> serial.run(action));
     }
 
-    private boolean enqueue(SelectorHandler handler, SelectorRunner runner, Runnable action) {
-        handler.enque(
-                runner,
-                () -> {
-                    serial.run(action);
-                    return true;
-                },
-                null);
-        return true;
+    /** Runs an action on the reading thread after the given number of selections and their reads. */
+    private void enqueue(SelectorRunner runner, int selections, Runnable action) {
+        transport
+                .getSelectorHandler()
+                .enque(
+                        runner,
+                        () -> {
+                            if (selections > 0) {
+                                enqueue(runner, selections - 1, action);
+                            } else {
+                                action.run();
+                            }
+                            return true;
+                        },
+                        null);
     }
 
     @Override
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundFilter.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundFilter.java
@@ -12,10 +12,12 @@
 import org.glassfish.grizzly.filterchain.NextAction;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.jboss.logging.Logger;
 import org.jspecify.annotations.Nullable;
 
 /** Assembles requests, enforces the limits and passes complete requests to the handler. */
 final class InboundFilter extends BaseFilter {
+    private static final Logger LOG = Logger.getLogger(InboundFilter.class);
     private static final int BAD_REQUEST = 400;
     private static final int CONTENT_TOO_LARGE = 413;
     private static final int HEADERS_TOO_LARGE = 431;
@@ -87,11 +89,21 @@
         } else {
             request.sendContinueIfExpected();
             if (request.isComplete()) {
-                handler.handle(request);
+                // The end of the connection may have arrived behind the request.
+                request.afterPendingInput(() -> handle(request));
             }
         }
     }
 
+    private void handle(GrizzlyInboundRequest request) {
+        try {
+            handler.handle(request);
+        } catch (RuntimeException | Error e) {
+            LOG.errorf(e, "Handling a request failed; its connection is closed.");
+            request.cut();
+        }
+    }
+
     private void checkHead(GrizzlyInboundRequest request, HttpRequestPacket head) {
         if (request.headerBytes() > limits.get().maxHeaderBytes()) {
             request.refuse(HEADERS_TOO_LARGE);
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundState.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundState.java
@@ -24,6 +24,9 @@
     /** Bounds what one caller keeps of the memory for requests of all callers. */
     private static final int MAX_WAITING_BYTES = 512 * 1024;
 
+    /** Bounds how long a caller that sends without end delays its own request. */
+    private static final int MAX_PENDING_READS = 8;
+
     private final Connection<?> connection;
     private final Supplier<InboundLimits> limits;
     private final Serial serial;
@@ -180,6 +183,25 @@
         return timeout.hasElapsed(l.headerTimeoutMs(), l.idleTimeoutMs());
     }
 
+    /**
+     * Runs an action on the reading thread after the input that has arrived so far, or the end of the connection behind
+     * it, has been read. Callable from any thread.
+     */
+    void afterPendingInput(Runnable action) {
+        inReadingThread(() -> {
+            readPending();
+            action.run();
+        });
+    }
+
+    private void readPending() {
+        long before = -1;
+        for (int i = 0; i < MAX_PENDING_READS && reads != before && connection.isOpen(); i++) {
+            before = reads;
+            read();
+        }
+    }
+
     private void inReadingThread(Runnable action) {
         connection.executeInEventThread(IOEvent.READ, () -> serial.run(action));
     }
