Count the time of a request from its arrival

Cause: the time of a request began when the daemon handled it, not when it arrived. A held-up daemon grants it its whole time again, and its own log shows it in time.

Change: ArrivalEstimate derives from the transport's selections how old input may be. What waited until its deadline is refused at once.

Ruled out: measuring at the first read alone, since the time in the socket is most of it.

--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
@@ -74,7 +74,7 @@
         this.service = service;
         this.spec = context.blackboard().config().flatMap(c -> c.service(service));
         this.workspace = workspace;
-        this.arrivedMs = context.clock().millis();
+        this.arrivedMs = context.clock().millis() - request.ageMs();
         this.deadlineMs = arrivedMs + Math.min(head.timeLeftMs().orElse(Long.MAX_VALUE), route.maxDurationMs());
         this.serverWaitLeftMs = route.objectiveMs() / 2;
         this.onDone = onDone;
@@ -92,6 +92,14 @@
             refuseQuarantined();
             return;
         }
+        if (remainingMs() < MIN_ATTEMPT_MS) {
+            // It may also have arrived just now; then its caller still has time for another instance.
+            refuse(
+                    ResultCode.OVERLOADED,
+                    "The request may have waited unread until its deadline.",
+                    RelayHandler.OTHER_INSTANCE_RETRY_AFTER_MS);
+            return;
+        }
         context.retries().requestArrived(service);
         request.onCallerGone(this::onCallerGone);
         timers.startDeadline(remainingMs() + DEADLINE_GRACE_MS, this::onDeadline);
--- a/net/src/main/java/io/hornbeamfield/net/relay/InboundRequest.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/InboundRequest.java
@@ -30,6 +30,12 @@
     /** Returns the body with its transfer coding removed. */
     byte[] body();
 
+    /**
+     * Returns the time in milliseconds since the first byte of the request arrived. If the transport was held up, this
+     * is the longest time for which the request may have been in its socket.
+     */
+    long ageMs();
+
     /** Returns whether the caller's connection is closed. */
     boolean callerGone();
 
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyInboundRequest.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyInboundRequest.java
@@ -40,6 +40,7 @@
     private final List<Header> headers;
     private final BufferPool input;
     private final Consumer<GrizzlyInboundRequest> beginNext;
+    private final long arrivedMs;
     private ByteArrayOutputStream receivedBody = new ByteArrayOutputStream();
     private byte[] body = new byte[0];
     private boolean complete;
@@ -70,6 +71,7 @@
         this.state = state;
         this.input = input;
         this.beginNext = beginNext;
+        this.arrivedMs = state.inputArrivedMs();
         this.unsent = state.unsent();
         this.method = head.getMethod().getMethodString();
         this.path = head.getRequestURI();
@@ -251,6 +253,11 @@
         return body;
     }
 
+    @Override
+    public long ageMs() {
+        return state.elapsedMs(arrivedMs);
+    }
+
     @Override
     public boolean callerGone() {
         return disconnected || !connection.isOpen();
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyRelayTransport.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyRelayTransport.java
@@ -1,6 +1,8 @@
 package io.hornbeamfield.net.relay.internal;
 
+import io.hornbeamfield.core.admission.ArrivalEstimate;
 import io.hornbeamfield.core.attempt.BufferPool;
+import io.hornbeamfield.core.time.MonotonicClock;
 import io.hornbeamfield.net.http.internal.ResponseCodec;
 import io.hornbeamfield.net.relay.ConnectListener;
 import io.hornbeamfield.net.relay.InboundHandler;
@@ -35,14 +37,23 @@
 
     private final TCPNIOTransport transport;
     private final Serial serial;
+    private final ArrivalEstimate estimate;
+    private final InputSelector selector;
     private final InboundConnections inbound = new InboundConnections();
     private final BufferPool input;
     private final List<Connection<?>> listening = new CopyOnWriteArrayList<>();
     private final FilterChain clientChain;
 
-    private GrizzlyRelayTransport(TCPNIOTransport transport, Serial serial, long maxInputBytes) {
+    private GrizzlyRelayTransport(
+            TCPNIOTransport transport,
+            Serial serial,
+            ArrivalEstimate estimate,
+            InputSelector selector,
+            long maxInputBytes) {
         this.transport = transport;
         this.serial = serial;
+        this.estimate = estimate;
+        this.selector = selector;
         this.input = new BufferPool(maxInputBytes);
         this.clientChain = FilterChainBuilder.stateless()
                 .add(new ReadFilter(serial, input, OutboundFilter::endExcessive))
@@ -54,8 +65,11 @@
 
     /** Starts a transport that keeps at most the given number of bytes of heads and requests. */
     public static RelayTransport start(String name, Serial serial, long maxInputBytes) {
+        ArrivalEstimate estimate = new ArrivalEstimate(MonotonicClock.start());
+        InputSelector selector = new InputSelector(estimate);
         TCPNIOTransport transport = TCPNIOTransportBuilder.newInstance()
                 .setName(name)
+                .setSelectorHandler(selector)
                 .setIOStrategy(SameThreadIOStrategy.getInstance())
                 .setSelectorRunnersCount(1)
                 .setTcpNoDelay(true)
@@ -67,7 +81,7 @@
         } catch (IOException e) {
             throw new UncheckedIOException("Cannot start the relay transport " + name + ".", e);
         }
-        return new GrizzlyRelayTransport(transport, serial, maxInputBytes);
+        return new GrizzlyRelayTransport(transport, serial, estimate, selector, maxInputBytes);
     }
 
     @Override
@@ -75,9 +89,10 @@
         KeepAlive keepAlive = new KeepAlive();
         keepAlive.setIdleTimeoutInSeconds(-1);
         keepAlive.setMaxRequestsCount(-1);
+        InputSelector.Listening socket = selector.add();
         FilterChain chain = FilterChainBuilder.stateless()
                 .add(new ReadFilter(serial, input, Connection::terminateSilently))
-                .add(new InboundConnectionFilter(inbound, limits, serial))
+                .add(new InboundConnectionFilter(inbound, limits, serial, estimate, socket.backlog()))
                 .add(new RequestCodecFilter(ConnectionInput.MAX_HEADER_BYTES, keepAlive))
                 .add(new InboundFilter(serial, handler, inbound, limits, input))
                 .build();
@@ -88,6 +103,7 @@
                     .build()
                     .bind(bindAddress, ACCEPT_BACKLOG);
             listening.add(server);
+            socket.opened(((NIOConnection) server).getChannel());
             return ((InetSocketAddress) server.getLocalAddress()).getPort();
         } catch (IOException e) {
             throw new UncheckedIOException("Cannot listen on " + address + ". Check that the address is free.", e);
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundConnectionFilter.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundConnectionFilter.java
@@ -1,5 +1,6 @@
 package io.hornbeamfield.net.relay.internal;
 
+import io.hornbeamfield.core.admission.ArrivalEstimate;
 import io.hornbeamfield.net.relay.InboundLimits;
 import io.hornbeamfield.net.relay.Serial;
 import java.util.function.Supplier;
@@ -13,17 +14,26 @@
     private final InboundConnections connections;
     private final Supplier<InboundLimits> limits;
     private final Serial serial;
+    private final ArrivalEstimate estimate;
+    private final ArrivalEstimate.Backlog backlog;
 
-    InboundConnectionFilter(InboundConnections connections, Supplier<InboundLimits> limits, Serial serial) {
+    InboundConnectionFilter(
+            InboundConnections connections,
+            Supplier<InboundLimits> limits,
+            Serial serial,
+            ArrivalEstimate estimate,
+            ArrivalEstimate.Backlog backlog) {
         this.connections = connections;
         this.limits = limits;
         this.serial = serial;
+        this.estimate = estimate;
+        this.backlog = backlog;
     }
 
     @Override
     public NextAction handleAccept(FilterChainContext ctx) {
         Connection<?> c = ctx.getConnection();
-        connections.add(c, new InboundState(c, limits, serial));
+        connections.add(c, new InboundState(c, limits, serial, estimate, backlog.accept()));
         return ctx.getInvokeAction();
     }
 
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundFilter.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundFilter.java
@@ -56,6 +56,7 @@
     }
 
     private void read(Connection<?> connection, InboundState state, HttpContent content) {
+        state.inputParsed();
         if (state.isReadingStopped()) {
             return;
         }
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundState.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundState.java
@@ -1,5 +1,6 @@
 package io.hornbeamfield.net.relay.internal;
 
+import io.hornbeamfield.core.admission.ArrivalEstimate;
 import io.hornbeamfield.core.admission.InputTimeout;
 import io.hornbeamfield.core.time.MonotonicClock;
 import io.hornbeamfield.net.relay.InboundLimits;
@@ -30,6 +31,8 @@
     private final Connection<?> connection;
     private final Supplier<InboundLimits> limits;
     private final Serial serial;
+    private final ArrivalEstimate estimate;
+    private final ArrivalEstimate.Accepted accepted;
     private final InputTimeout timeout = new InputTimeout(MonotonicClock.start());
     private final AtomicLong unsent = new AtomicLong();
     /** Pipelined requests, which are answered after the current one. */
@@ -40,12 +43,21 @@
     private long reads;
     private volatile boolean readingStopped;
     private boolean checkPending;
+    private boolean headBegun;
+    private long inputArrivedMs;
 
     /** Creates the state of a connection; all calls other than those that say so run under the serial. */
-    InboundState(Connection<?> connection, Supplier<InboundLimits> limits, Serial serial) {
+    InboundState(
+            Connection<?> connection,
+            Supplier<InboundLimits> limits,
+            Serial serial,
+            ArrivalEstimate estimate,
+            ArrivalEstimate.Accepted accepted) {
         this.connection = connection;
         this.limits = limits;
         this.serial = serial;
+        this.estimate = estimate;
+        this.accepted = accepted;
     }
 
     @Nullable
@@ -55,6 +67,10 @@
 
     void bytesReceived() {
         reads++;
+        if (!headBegun) {
+            headBegun = true;
+            inputArrivedMs = accepted.inputArrivedMs();
+        }
         if (isFree()) {
             timeout.headReceived();
         } else {
@@ -62,6 +78,21 @@
         }
     }
 
+    /** Records that what was received is a part of a request that has been parsed. */
+    void inputParsed() {
+        headBegun = false;
+    }
+
+    /** Returns the estimated arrival of the request of which a head or a part is being handled. */
+    long inputArrivedMs() {
+        return inputArrivedMs;
+    }
+
+    /** Returns the time since an estimated arrival. */
+    long elapsedMs(long arrivedMs) {
+        return estimate.elapsedMs(arrivedMs);
+    }
+
     private boolean isFree() {
         return current == null && waiting.isEmpty();
     }
