Reset the connection of a request that is given up

What callers saw: nothing, they had left or had their answer; servers got their requests afterwards (GONE).

Cause: the connection of an ended attempt was closed in order, so that what was still in its buffers was delivered, over a slow link seconds later.

Evidence: GivenUpRequestTest fails in 4 of 4 cases without this change (a server that reads late gets the whole 200 KB) and passes with it.

Change: a connection that is closed before its response is complete is reset. Ruled out: the queue of the transport, which is dropped already.

--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyOutboundConnection.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyOutboundConnection.java
@@ -57,9 +57,10 @@
     @Override
     public void close() {
         OutboundExchange current = exchange;
-        if (current != null) {
+        if (current == null || current.isDone()) {
+            connection.terminateSilently();
+        } else {
             current.abandon();
         }
-        connection.terminateSilently();
     }
 }
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/OutboundExchange.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/OutboundExchange.java
@@ -130,15 +130,21 @@
     private void end(Runnable report) {
         serial.run(() -> {
             if (!done) {
-                finish();
-                connection.terminateSilently();
+                abandon();
                 report.run();
             }
         });
     }
 
+    boolean isDone() {
+        return done;
+    }
+
+    /** Ends the exchange, and with a reset what of its request has not left yet or is on its way to the server. */
     void abandon() {
-        done = true;
+        finish();
+        CloseMode.set(connection, CloseMode.RESET);
+        connection.terminateSilently();
     }
 
     private void finish() {
