Check deadline and caller when a request that waited goes on

What callers saw: nothing, they had left; servers got requests with 1 ms left or without a caller (GONE).

Cause: only a timer on the control thread and the read of the connection's end ended a request that waited for tokens, a server or a connection. In a held-up daemon the other event may be handled first.

Evidence: LateDispatchTest without this change fails in 6 of 8 cases of too late connections, tokens, second servers and resumed streams; all pass with it.

Change: the deadline is checked before each attempt and once its connection is open; after a wait what has arrived from the caller is read first.

--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/Attempt.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/Attempt.java
@@ -14,6 +14,7 @@
 import io.hornbeamfield.platform.Wire;
 import java.io.ByteArrayOutputStream;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 
@@ -34,7 +35,7 @@
     private final String attemptId;
     private final long promptTokens;
     private final long stallTimeoutMs;
-    private final Supplier<OutboundRequest> request;
+    private final Supplier<Optional<OutboundRequest>> request;
     private final Listener listener;
     private final InputAllowance bodyAllowance = new InputAllowance(MAX_BUFFERED_BYTES, BODY_PART_COST_BYTES);
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
@@ -56,6 +57,9 @@
 
     /** Receives the events of an attempt. */
     interface Listener {
+        /** Runs an action unless the attempt is cancelled first, because its caller turns out to have left. */
+        void whileCallerWaits(Runnable action);
+
         /** Returns whether a successful answer is a stream whose events may be forwarded as they arrive. */
         boolean isStream(List<Header> answerHeaders);
 
@@ -83,7 +87,7 @@
             String attemptId,
             long promptTokens,
             long stallTimeoutMs,
-            Supplier<OutboundRequest> request,
+            Supplier<Optional<OutboundRequest>> request,
             Listener listener) {
         this.pool = pool;
         this.server = pool.server();
@@ -135,6 +139,15 @@
 
     @Override
     public void onConnection(OutboundConnection c, boolean connectionReused) {
+        if (connectionReused) {
+            send(c, true);
+        } else {
+            // Opening it took a while.
+            listener.whileCallerWaits(() -> send(c, false));
+        }
+    }
+
+    private void send(OutboundConnection c, boolean connectionReused) {
         if (done) {
             pool.discard(c);
             return;
@@ -145,12 +158,19 @@
             end(AttemptOutcome.NOT_CONNECTED, "the server takes no new requests");
             return;
         }
+        Optional<OutboundRequest> outbound = request.get();
+        if (outbound.isEmpty()) {
+            withheld = true;
+            pool.release(c, 0);
+            end(AttemptOutcome.NOT_CONNECTED, "too little time is left");
+            return;
+        }
         server = pool.server();
         connection = c;
         reused = connectionReused;
         sent = true;
         pool.recordSent();
-        c.send(request.get(), this);
+        c.send(outbound.get(), this);
     }
 
     @Override
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
@@ -56,6 +56,7 @@
     private long serverWaitLeftMs;
     private int possibleRuns;
     private int attempts;
+    private boolean waited;
     private boolean done;
 
     RequestFlow(
@@ -104,11 +105,16 @@
         request.onCallerGone(this::onCallerGone);
         timers.startDeadline(remainingMs() + DEADLINE_GRACE_MS, this::onDeadline);
         tokens.start(route.objectiveMs());
+        waited = true;
     }
 
     @Override
     public void onReserved() {
-        dispatch();
+        if (waited) {
+            dispatchIfCallerWaits();
+        } else {
+            dispatch();
+        }
     }
 
     @Override
@@ -130,10 +136,24 @@
         }
     }
 
+    @Override
+    public void whileCallerWaits(Runnable action) {
+        request.afterPendingInput(action);
+    }
+
+    /** Dispatches a request that has waited, unless its caller turns out to have left. */
+    private void dispatchIfCallerWaits() {
+        whileCallerWaits(this::dispatch);
+    }
+
     private void dispatch() {
         if (done) {
             return;
         }
+        if (remainingMs() < MIN_ATTEMPT_MS) {
+            onDeadline();
+            return;
+        }
         if (!context.blackboard().shutdownStage().allowsSending(possibleRuns > 0)) {
             endForShutdown();
             return;
@@ -185,11 +205,15 @@
         }
     }
 
-    private OutboundRequest outbound(ServerConnectionPool pool) {
+    /** Returns the request to send, empty if too little time is left. */
+    private Optional<OutboundRequest> outbound(ServerConnectionPool pool) {
+        if (remainingMs() < MIN_ATTEMPT_MS) {
+            return Optional.empty();
+        }
         boolean keysRequired =
                 context.blackboard().config().map(RouteConfig::keysRequired).orElse(true);
-        return ForwardedRequest.of(
-                pool.server().id(), request, keysRequired, workspace, remainingMs(), stream.lastEventId());
+        return Optional.of(ForwardedRequest.of(
+                pool.server().id(), request, keysRequired, workspace, remainingMs(), stream.lastEventId()));
     }
 
     @Override
@@ -289,7 +313,7 @@
     private void execute(NextStep step, Attempt ended, String reason) {
         switch (step) {
             case DELIVER -> deliver(ended);
-            case SEND_AGAIN, RESUME -> dispatch();
+            case SEND_AGAIN, RESUME -> dispatchIfCallerWaits();
             case REFUSE -> refuseWithoutServer("No backend server could take the request.");
             case FAIL -> refuse(ResultCode.BACKEND_FAILED, "The backend server failed: " + reason, 0);
             case CUT -> abortStream("stream-broken");
@@ -311,7 +335,7 @@
         long waitMs = servers.delayMs().orElse(Long.MAX_VALUE);
         if (waitMs <= serverWaitLeftMs) {
             serverWaitLeftMs -= waitMs;
-            context.timers().after(waitMs, this::dispatch);
+            context.timers().after(waitMs, this::dispatchIfCallerWaits);
         } else if (stream.started()) {
             abortStream("no-server-to-resume");
         } else if (possibleRuns > 0) {
