Run the timers of request handling on a thread of their own

What callers saw: an instance under load judged requests by an old configuration (first clause of CONFIG).

Cause: timers of requests and notices to request handling ran on the control thread and waited there for the lock of request handling, with configurations, servers and members behind them.

Change: the timers have a thread of their own, which also delivers the notices of the controllers.

--- a/entry/src/main/java/io/hornbeamfield/entry/EntryProcess.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/EntryProcess.java
@@ -26,6 +26,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -55,6 +56,10 @@
     private final Blackboard blackboard = new Blackboard();
     private final Serial serial = new Serial();
     private final ScheduledThreadPoolExecutor executor;
+
+    /** Waits for the serial in place of the control thread, which must go on while request handling is held up. */
+    private final ScheduledThreadPoolExecutor trafficExecutor;
+
     private final Timers timers;
     private final HttpClient http;
     private final RelayTransport transport;
@@ -70,12 +75,8 @@
         this.live = live;
         this.settings = live.get();
         this.log = log;
-        executor = new ScheduledThreadPoolExecutor(1, r -> {
-            Thread t = new Thread(r, "control");
-            t.setDaemon(true);
-            return t;
-        });
-        executor.setRemoveOnCancelPolicy(true);
+        executor = executor("control");
+        trafficExecutor = executor("traffic-timers");
         http = HttpClient.create("control");
         transport = RelayTransport.start("traffic", serial);
         book = new PrepaidHoldings(
@@ -83,7 +84,7 @@
                 settings.instance() + "/" + UUID.randomUUID(),
                 blackboard::ledgerWriterCount,
                 () -> blackboard.isLedgerWriter(settings.instance()));
-        timers = new Timers(executor, serial);
+        timers = new Timers(trafficExecutor, serial);
         TrafficNotifier notifier = new TrafficNotifier();
         control = new ControlPlane(
                 settings, clock, executor, http, blackboard, book, log, partActivity, notifier, notifier);
@@ -109,6 +110,16 @@
         executor.scheduleWithFixedDelay(this::readSettings, SETTINGS_POLL_MS, SETTINGS_POLL_MS, TimeUnit.MILLISECONDS);
     }
 
+    private static ScheduledThreadPoolExecutor executor(String threadName) {
+        ScheduledThreadPoolExecutor created = new ScheduledThreadPoolExecutor(1, r -> {
+            Thread t = new Thread(r, threadName);
+            t.setDaemon(true);
+            return t;
+        });
+        created.setRemoveOnCancelPolicy(true);
+        return created;
+    }
+
     private void readSettings() {
         LoggedTask.run("Reading the settings", live::reloadIfChanged);
     }
@@ -160,26 +171,33 @@
         executor.execute(this::readSettings);
     }
 
-    /** Forwards the events of the controllers to request handling. */
+    /** Forwards the events of the controllers to request handling, which may be held up. */
     private final class TrafficNotifier implements ControlPlane.TokenListener, ControlPlane.QuarantineListener {
+        private final AtomicBoolean holdingsChangePending = new AtomicBoolean();
+
         @Override
         public void quarantineChanged() {
-            serial.run(() -> traffic.quarantineChanged());
+            timers.soon(traffic::quarantineChanged);
         }
 
         @Override
         public void holdingsChanged() {
-            serial.run(() -> traffic.holdingsChanged());
+            if (holdingsChangePending.compareAndSet(false, true)) {
+                timers.soon(() -> {
+                    holdingsChangePending.set(false);
+                    traffic.holdingsChanged();
+                });
+            }
         }
 
         @Override
         public void exhausted(String workspace) {
-            serial.run(() -> traffic.tokensExhausted(workspace));
+            timers.soon(() -> traffic.tokensExhausted(workspace));
         }
 
         @Override
         public void unavailable(String workspace, long retryAfterMs) {
-            serial.run(() -> traffic.tokensUnavailable(workspace, retryAfterMs));
+            timers.soon(() -> traffic.tokensUnavailable(workspace, retryAfterMs));
         }
     }
 
@@ -258,6 +276,7 @@
     @Override
     public void close() {
         executor.shutdownNow();
+        trafficExecutor.shutdownNow();
         control.close();
         transport.close();
         http.close();
--- a/entry/src/main/java/io/hornbeamfield/entry/Timers.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/Timers.java
@@ -15,6 +15,11 @@
         this.serial = serial;
     }
 
+    /** Runs an action as soon as request handling is free, after those that were passed before. */
+    public void soon(Runnable action) {
+        executor.execute(inSerial(action));
+    }
+
     /** Runs an action once after a delay. */
     public Future<?> after(long delayMs, Runnable action) {
         return executor.schedule(inSerial(action), Math.max(0, delayMs), TimeUnit.MILLISECONDS);
