Do not give up a list of the store that keeps arriving

Cause: a call had 0.9 s for its whole response, and a list that took longer was asked for again from its start, over the same link.

Evidence: StoreWatcherTest.aListThatKeepsArrivingIsNotGivenUp fails with the limit for lists set to the timeout, and passes.

Change: a page of a list may take up to contact-ms as long as a part of it arrives within each timeout. Ruled out: the same for watches, since the list that follows a failed one is smaller than many events.

--- a/entry/src/main/java/io/hornbeamfield/entry/control/ControlPlane.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/ControlPlane.java
@@ -67,7 +67,9 @@
             TokenListener tokenListener,
             QuarantineListener quarantineListener) {
         this.executor = executor;
-        StoreClient store = new StoreClient(http, settings.storeAddress(), STORE_TIMEOUT);
+        // A list that is given up has to arrive from its start again.
+        StoreClient store = new StoreClient(
+                http, settings.storeAddress(), STORE_TIMEOUT, Duration.ofMillis(settings.storeContactMs()));
         prepaid = new PrepaidController(
                 store, clock, executor, book, log, isEarlierIncarnation(settings, book), tokenListener);
         backends = new BackendController(store, executor, clock, blackboard, log);
--- a/entry/src/test/java/io/hornbeamfield/entry/control/StoreWatcherTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/control/StoreWatcherTest.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -27,13 +28,22 @@
 
 final class StoreWatcherTest {
     private static final int PART_BYTES = 1_000;
+    private static final Duration TIMEOUT = Duration.ofMillis(300);
+    private static final Duration LIST_TIMEOUT = Duration.ofSeconds(3);
+    private static final long PART_PAUSE_MS = 100;
+
+    /** These parts take three times the timeout, and less than the one for lists. */
+    private static final int LIST_PARTS = 10;
 
     private final HttpClient http = HttpClient.create("test");
     private final ScheduledExecutorService control = Executors.newSingleThreadScheduledExecutor();
     private final ExecutorService calls = Executors.newCachedThreadPool();
     private final BlockingQueue<Long> listed = new LinkedBlockingQueue<>();
     private final AtomicLong revision = new AtomicLong();
+    private final AtomicInteger lists = new AtomicInteger();
     private HttpServer server;
+    private volatile boolean listIsSlow;
+    private volatile boolean listStalls;
 
     @BeforeEach
     void start() throws IOException {
@@ -55,9 +65,15 @@
     private void respond(HttpExchange exchange) throws IOException {
         if (!String.valueOf(exchange.getRequestURI().getQuery()).contains("watch=")) {
             byte[] body = ("{\"items\":[],\"at\":" + revision.incrementAndGet() + "}").getBytes(StandardCharsets.UTF_8);
-            exchange.sendResponseHeaders(200, body.length);
-            exchange.getResponseBody().write(body);
-            exchange.close();
+            lists.incrementAndGet();
+            exchange.sendResponseHeaders(200, 0);
+            if (listIsSlow) {
+                writeSpaces(exchange);
+            }
+            if (!listStalls) {
+                exchange.getResponseBody().write(body);
+                exchange.close();
+            }
             return;
         }
         exchange.sendResponseHeaders(200, 0);
@@ -72,6 +88,18 @@
         }
     }
 
+    private static void writeSpaces(HttpExchange exchange) throws IOException {
+        try {
+            for (int i = 0; i < LIST_PARTS; i++) {
+                exchange.getResponseBody().write(' ');
+                exchange.getResponseBody().flush();
+                Thread.sleep(PART_PAUSE_MS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private final class Lists implements StoreWatcher.Listener {
         @Override
         public void onList(StoreList list) {
@@ -94,22 +122,46 @@
         }
     }
 
-    /** Guards against a configuration that is not adopted because the events since the last one never arrive whole. */
-    @Test
-    void aWatchWhoseEventsDoNotArriveInTimeIsFollowedByAList() throws InterruptedException {
-        StoreClient store =
-                new StoreClient(http, "127.0.0.1:" + server.getAddress().getPort(), Duration.ofMillis(300));
+    private void startWatcher() {
+        String address = "127.0.0.1:" + server.getAddress().getPort();
         new StoreWatcher(
-                        store,
+                        new StoreClient(http, address, TIMEOUT, LIST_TIMEOUT),
                         "config",
                         control,
                         EventLog.none(),
                         new Lists(),
-                        new WatchTiming(1_000, 1_000, 300),
+                        new WatchTiming(1_000, 1_000, TIMEOUT.toMillis()),
                         () -> false,
                         StoreWatcher.CatchUp.LIST)
                 .start();
+    }
+
+    /** Guards against a configuration that is not adopted because the events since the last one never arrive whole. */
+    @Test
+    void aWatchWhoseEventsDoNotArriveInTimeIsFollowedByAList() throws InterruptedException {
+        startWatcher();
         assertThat(listed.poll(10, TimeUnit.SECONDS)).isEqualTo(1);
         assertThat(listed.poll(10, TimeUnit.SECONDS)).isEqualTo(2);
     }
+
+    /** Guards against a configuration that is not adopted because its list is given up again and again. */
+    @Test
+    void aListThatKeepsArrivingIsNotGivenUp() throws InterruptedException {
+        listIsSlow = true;
+        startWatcher();
+        assertThat(listed.poll(10, TimeUnit.SECONDS)).isEqualTo(1);
+        assertThat(lists).hasValue(1);
+    }
+
+    @Test
+    void aListThatStopsArrivingIsAskedForAgain() throws InterruptedException {
+        listIsSlow = true;
+        listStalls = true;
+        startWatcher();
+        while (lists.get() < 2) {
+            Thread.sleep(PART_PAUSE_MS);
+        }
+        listStalls = false;
+        assertThat(listed.poll(10, TimeUnit.SECONDS)).isNotNull();
+    }
 }
--- a/net/src/main/java/io/hornbeamfield/net/http/HttpCall.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/HttpCall.java
@@ -18,7 +18,7 @@
  * }</pre>
  *
  * <p>The timeout (10 s by default) covers the time until the response head arrives or, for {@link HttpClient#send},
- * until the whole body has arrived.
+ * until the whole body has arrived. A call may allow a longer time for a body that keeps arriving.
  *
  * <p>A response body with neither a length nor chunks counts as broken, unless the call allows that its body ends with
  * the connection.
@@ -29,6 +29,7 @@
         Map<String, String> headers,
         byte[] body,
         Duration timeout,
+        Duration receivingTimeout,
         boolean bodyMayEndWithConnection) {
     private static final Duration DEFAULT_TIMEOUT = Duration.ofSeconds(10);
 
@@ -64,6 +65,7 @@
         private final Map<String, String> headers = new LinkedHashMap<>();
         private byte[] body = new byte[0];
         private Duration timeout = DEFAULT_TIMEOUT;
+        private Duration receivingTimeout = Duration.ZERO;
         private boolean bodyMayEndWithConnection;
 
         private Builder(String method, String uri) {
@@ -104,6 +106,15 @@
             return this;
         }
 
+        /**
+         * Extends the timeout of {@link HttpClient#send} to the given time in all, as long as some of the response
+         * arrives within each further timeout.
+         */
+        public Builder receivingTimeout(Duration limit) {
+            this.receivingTimeout = limit;
+            return this;
+        }
+
         /**
          * Accepts a body with neither a length nor chunks as complete if the server closes the connection in order. It
          * is broken after a reset, or if it is empty, since a server that stopped after the head leaves the same bytes.
@@ -115,7 +126,8 @@
 
         /** Returns the finished request. */
         public HttpCall build() {
-            return new HttpCall(method, uri, Map.copyOf(headers), body, timeout, bodyMayEndWithConnection);
+            Duration longest = receivingTimeout.compareTo(timeout) > 0 ? receivingTimeout : timeout;
+            return new HttpCall(method, uri, Map.copyOf(headers), body, timeout, longest, bodyMayEndWithConnection);
         }
     }
 }
--- a/net/src/main/java/io/hornbeamfield/net/http/internal/Exchange.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/Exchange.java
@@ -31,7 +31,7 @@
     private @Nullable Connection<?> connection;
     private int interimHeads;
     private boolean headArrived;
-    private boolean dataArrived;
+    private long receivedBytes;
     private boolean endsWithConnection;
     private boolean done;
 
@@ -105,7 +105,7 @@
 
     synchronized void data(byte[] chunk) {
         if (!done) {
-            dataArrived = true;
+            receivedBytes += chunk.length;
             listener.onData(chunk);
         }
     }
@@ -155,6 +155,11 @@
                 : new CallFailure(CallFailure.Kind.CONNECT_FAILED, failure.getMessage() + " It was still connecting.");
     }
 
+    /** Returns the number of bytes of the body that have arrived. */
+    synchronized long receivedBytes() {
+        return receivedBytes;
+    }
+
     synchronized boolean headArrived() {
         return headArrived;
     }
@@ -200,7 +205,7 @@
     private synchronized boolean isCompleteAtClose() {
         Connection<?> c = connection;
         return endsWithConnection
-                && dataArrived
+                && receivedBytes > 0
                 && c != null
                 && c.getCloseReason().getCause() instanceof EOFException;
     }
--- a/net/src/main/java/io/hornbeamfield/net/http/internal/GrizzlyHttpClient.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/GrizzlyHttpClient.java
@@ -1,6 +1,5 @@
 package io.hornbeamfield.net.http.internal;
 
-import io.hornbeamfield.net.http.CallFailure;
 import io.hornbeamfield.net.http.HttpCall;
 import io.hornbeamfield.net.http.HttpClient;
 import io.hornbeamfield.net.http.HttpReply;
@@ -66,12 +65,11 @@
         CollectingListener reply = new CollectingListener(future, buffers);
         buffers.add(reply);
         Exchange exchange = startExchange(call, reply);
-        var timeoutTask = timer.schedule(
-                () -> exchange.fail(timeoutFailure(call)), call.timeout().toMillis(), TimeUnit.MILLISECONDS);
+        ReplyTimeout timeout = ReplyTimeout.start(timer, call, exchange);
         // Returns the original future, since a dependent one would wrap the CallFailure in a CompletionException.
         future.whenComplete((result, failure) -> {
             buffers.remove(reply);
-            timeoutTask.cancel(false);
+            timeout.cancel();
             if (failure != null) {
                 exchange.cancel();
             }
@@ -95,7 +93,7 @@
 
     private OpenStream open(HttpCall call, Exchange exchange) {
         timer.schedule(
-                () -> exchange.failUnlessHeadArrived(timeoutFailure(call)),
+                () -> exchange.failUnlessHeadArrived(ReplyTimeout.failure(call, call.timeout())),
                 call.timeout().toMillis(),
                 TimeUnit.MILLISECONDS);
         return exchange::cancel;
@@ -107,13 +105,6 @@
         return exchange;
     }
 
-    private static CallFailure timeoutFailure(HttpCall call) {
-        return new CallFailure(
-                CallFailure.Kind.TIMED_OUT,
-                call.method() + " " + call.uri() + " got no answer within "
-                        + call.timeout().toMillis() + " ms.");
-    }
-
     @Override
     public void close() {
         timer.shutdownNow();
