Router: count the time of a request from its arrival

What callers saw: requests of callers that had given up were run and billed after a hold-up of the router.

Cause: as in the entry daemon, the deadline was computed when a thread for callers read the head, not when the request arrived.

Change: each selector thread of the HTTP server has an ArrivalEstimate; HttpExchange.age() counts from there.

--- a/core/src/main/java/io/hornbeamfield/core/admission/ArrivalEstimate.java
+++ b/core/src/main/java/io/hornbeamfield/core/admission/ArrivalEstimate.java
@@ -5,7 +5,8 @@
 /**
  * Estimates when input arrived that a thread reads from its sockets. The sockets do not tell; but input that is read
  * now had not arrived when the thread looked for input the time before. A thread that is held up looks seldom, and its
- * input is taken to be as old as it can be, less the time that input usually waits. Not thread-safe.
+ * input is taken to be as old as it can be, less the time that input usually waits. One thread looks; others may ask
+ * for the arrival of input.
  *
  * <pre>{@code
  * estimate.looking();            // before each selection
@@ -21,7 +22,7 @@
 
     private final Clock clock;
     private long lastLookMs;
-    private long previousLookMs;
+    private volatile long previousLookMs;
     private long looks;
 
     public ArrivalEstimate(Clock clock) {
--- a/net/src/main/java/io/hornbeamfield/net/http/HttpExchange.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/HttpExchange.java
@@ -1,5 +1,6 @@
 package io.hornbeamfield.net.http;
 
+import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
 
@@ -23,6 +24,12 @@
     /** Returns the whole body. */
     byte[] body();
 
+    /**
+     * Returns the time since the request arrived. If the server was held up, this is the longest time for which the
+     * request may have been in its socket.
+     */
+    Duration age();
+
     /** Sends a complete response with headers. */
     void reply(int status, Map<String, String> headers, byte[] body);
 
--- a/net/src/main/java/io/hornbeamfield/net/http/internal/GrizzlyExchange.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/GrizzlyExchange.java
@@ -4,11 +4,13 @@
 import io.hornbeamfield.net.http.HttpServer;
 import io.hornbeamfield.net.http.ResponseStream;
 import java.io.IOException;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.LongSupplier;
 import org.glassfish.grizzly.CloseListener;
 import org.glassfish.grizzly.Closeable;
 import org.glassfish.grizzly.Connection;
@@ -23,16 +25,18 @@
     private final Request request;
     private final Response response;
     private final byte[] body;
+    private final LongSupplier ageMs;
     private final String method;
     private final String path;
     private final AtomicBoolean responseStarted = new AtomicBoolean();
     private final AtomicBoolean responseComplete = new AtomicBoolean();
     private final List<CloseListener<Closeable, ICloseType>> closeListeners = new CopyOnWriteArrayList<>();
 
-    GrizzlyExchange(Request request, Response response, byte[] body) {
+    GrizzlyExchange(Request request, Response response, byte[] body, LongSupplier ageMs) {
         this.request = request;
         this.response = response;
         this.body = body;
+        this.ageMs = ageMs;
         this.method = request.getMethod().getMethodString();
         this.path = request.getRequestURI();
     }
@@ -71,6 +75,11 @@
         return body;
     }
 
+    @Override
+    public Duration age() {
+        return Duration.ofMillis(ageMs.getAsLong());
+    }
+
     @Override
     public void reply(int status, Map<String, String> headers, byte[] bytes) {
         if (!responseStarted.compareAndSet(false, true)) {
--- a/net/src/main/java/io/hornbeamfield/net/http/internal/GrizzlyHttpServer.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/GrizzlyHttpServer.java
@@ -44,6 +44,8 @@
         int port = Integer.parseInt(address.substring(colon + 1));
         NetworkListener listener = new NetworkListener(name, host, port);
         configureThreads(listener, name, workerThreads);
+        ArrivalSelector arrivals = new ArrivalSelector();
+        listener.getTransport().setSelectorHandler(arrivals);
         listener.setMaxFormPostSize(MAX_BODY_BYTES);
         // No idle timeout: a stream may send nothing for longer than any fixed limit.
         listener.getKeepAlive().setIdleTimeoutInSeconds(-1);
@@ -52,7 +54,7 @@
         org.glassfish.grizzly.http.server.HttpServer server = new org.glassfish.grizzly.http.server.HttpServer();
         server.addListener(listener);
         server.getServerConfiguration()
-                .addHttpHandler(new Dispatcher(routes, new RequestBodies(maxBodyBytesTogether)), "/");
+                .addHttpHandler(new Dispatcher(routes, new RequestBodies(maxBodyBytesTogether), arrivals), "/");
         server.getServerConfiguration().setAllowPayloadForUndefinedHttpMethods(true);
         try {
             server.start();
@@ -97,24 +99,29 @@
     }
 
     private static final class Dispatcher extends HttpHandler {
+        private static final String ARRIVED_MS = "hornbeamfield-arrived-ms";
+
         private final List<Route> routes;
         private final RequestBodies bodies;
+        private final ArrivalSelector arrivals;
 
-        Dispatcher(List<Route> routes, RequestBodies bodies) {
+        Dispatcher(List<Route> routes, RequestBodies bodies, ArrivalSelector arrivals) {
             this.routes = routes;
             this.bodies = bodies;
+            this.arrivals = arrivals;
         }
 
         @Override
         public void service(Request request, Response response) {
             response.suspend();
+            long arrivedMs = (Long) request.getAttribute(ARRIVED_MS);
             Connection<?> connection = request.getConnection();
             Executor workers = connection.getTransport().getWorkerThreadPool();
             // In a thread of its own, since the caller holds locks of another connection.
             Runnable close = () -> workers.execute(connection::terminateSilently);
             BodyReader.read(request, bodies, close, body -> {
                 HeldInput.of(connection).requestReceived();
-                dispatch(new GrizzlyExchange(request, response, body));
+                dispatch(new GrizzlyExchange(request, response, body, () -> arrivals.elapsedMs(arrivedMs)));
             });
         }
 
@@ -123,6 +130,7 @@
         public RequestExecutorProvider getRequestExecutorProvider() {
             return request -> {
                 Connection<?> connection = request.getContext().getConnection();
+                request.setAttribute(ARRIVED_MS, arrivals.arrivedMs(connection));
                 if (request.getInputBuffer().isFinished()) {
                     HeldInput.of(connection).requestReceived();
                 }
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/RequestReader.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/RequestReader.java
@@ -113,7 +113,7 @@
 
     private static Deadline deadline(HttpExchange exchange, Clock clock) {
         return number(exchange, CallerHeaders.DEADLINE)
-                .map(ms -> Deadline.after(Duration.ofMillis(ms), clock))
+                .map(ms -> Deadline.after(Duration.ofMillis(ms).minus(exchange.age()), clock))
                 .orElse(Deadline.none());
     }
 
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/TrackedExchange.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/TrackedExchange.java
@@ -2,6 +2,7 @@
 
 import io.hornbeamfield.net.http.HttpExchange;
 import io.hornbeamfield.net.http.ResponseStream;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -68,6 +69,11 @@
         return exchange.body();
     }
 
+    @Override
+    public Duration age() {
+        return exchange.age();
+    }
+
     @Override
     public void reply(int status, Map<String, String> headers, byte[] body) {
         try {
--- a/router/src/test/java/io/hornbeamfield/router/traffic/TestRouter.java
+++ b/router/src/test/java/io/hornbeamfield/router/traffic/TestRouter.java
@@ -41,7 +41,7 @@
     final FakeLoad load = new FakeLoad();
     final LocalCrashes crashes = new LocalCrashes(board);
     final HttpClient client = HttpClient.create("test");
-    final Clock clock = MonotonicClock.start();
+    final Clock clock;
     final Traffic traffic;
 
     TestRouter(String incarnation) {
@@ -50,7 +50,12 @@
 
     /** Creates a router whose first preset sets its queue limits, which later ones change with a delay. */
     TestRouter(String incarnation, Preset first) {
+        this(incarnation, first, MonotonicClock.start());
+    }
+
+    TestRouter(String incarnation, Preset first, Clock clock) {
         this.incarnation = incarnation;
+        this.clock = clock;
         publish(first);
         traffic = Traffic.start(new TrafficDependencies(
                 incarnation,
