--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyInboundRequest.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyInboundRequest.java
@@ -4,7 +4,6 @@
 import io.hornbeamfield.net.relay.Header;
 import io.hornbeamfield.net.relay.InboundRequest;
 import java.io.ByteArrayOutputStream;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
@@ -14,7 +13,6 @@
 import org.glassfish.grizzly.http.HttpResponsePacket;
 import org.glassfish.grizzly.http.Protocol;
 import org.glassfish.grizzly.http.util.HttpStatus;
-import org.glassfish.grizzly.http.util.MimeHeaders;
 import org.glassfish.grizzly.memory.Buffers;
 import org.jspecify.annotations.Nullable;
 
@@ -78,19 +76,11 @@
         String q = head.getQueryString();
         this.query = q == null ? "" : q;
         this.hasQuery = !head.getQueryStringDC().isNull();
-        this.headers = copy(head.getHeaders());
+        this.headers = HeaderCopy.of(head.getHeaders());
         this.closeAfter = !head.getProcessingState().isKeepAlive()
                 || "close".equalsIgnoreCase(String.valueOf(header("Connection")));
     }
 
-    private static List<Header> copy(MimeHeaders from) {
-        List<Header> list = new ArrayList<>(from.size());
-        for (int i = 0; i < from.size(); i++) {
-            list.add(new Header(from.getName(i).toString(), from.getValue(i).toString()));
-        }
-        return list;
-    }
-
     boolean isReceiving(HttpRequestPacket packet) {
         return head == packet && !complete;
     }
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/OutboundExchange.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/OutboundExchange.java
@@ -3,7 +3,6 @@
 import io.hornbeamfield.net.relay.Header;
 import io.hornbeamfield.net.relay.OutboundListener;
 import io.hornbeamfield.net.relay.Serial;
-import java.util.ArrayList;
 import java.util.List;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
@@ -11,7 +10,6 @@
 import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpResponsePacket;
-import org.glassfish.grizzly.http.util.MimeHeaders;
 import org.jspecify.annotations.Nullable;
 
 /** One request and its response on a connection to a server. */
@@ -59,7 +57,7 @@
             return;
         }
         if (!headReceived) {
-            List<Header> headers = headers(head.getHeaders());
+            List<Header> headers = HeaderCopy.of(head.getHeaders());
             if (!AnswerCheck.hasClearEnd(head, headers)) {
                 fail("the head of the response does not say clearly where it ends");
                 return;
@@ -93,14 +91,6 @@
         return delimitedByClose && connection.isOpen();
     }
 
-    private static List<Header> headers(MimeHeaders from) {
-        List<Header> list = new ArrayList<>(from.size());
-        for (int i = 0; i < from.size(); i++) {
-            list.add(new Header(from.getName(i).toString(), from.getValue(i).toString()));
-        }
-        return list;
-    }
-
     void closed(@Nullable ConnectionEnd end) {
         serial.run(() -> {
             if (done) {
