--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/RelayHandler.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/RelayHandler.java
@@ -1,6 +1,7 @@
 package io.hornbeamfield.entry.traffic;
 
 import io.hornbeamfield.core.admission.ShutdownStage;
+import io.hornbeamfield.core.attempt.RequestTime;
 import io.hornbeamfield.core.result.ResultCode;
 import io.hornbeamfield.core.route.Route;
 import io.hornbeamfield.core.route.RouteConfig;
@@ -96,9 +97,21 @@
                     OTHER_INSTANCE_RETRY_AFTER_MS);
             return;
         }
+        RequestTime time = RequestTime.start(
+                context.clock(), request.ageMs(), head.timeLeftMs(), route.get().maxDurationMs());
+        if (!time.allowsAttempt()) {
+            // It may also have arrived just now; then its caller still has time for another instance.
+            refuse(
+                    request,
+                    head,
+                    ResultCode.OVERLOADED,
+                    "The request may have waited unread until its deadline.",
+                    OTHER_INSTANCE_RETRY_AFTER_MS);
+            return;
+        }
         String service = route.get().pickService(ThreadLocalRandom.current());
         RequestFlow flow = new RequestFlow(
-                context, request, head, route.get(), service, workspace, config.version(), open::remove);
+                context, request, head, route.get(), service, workspace, config.version(), time, open::remove);
         open.add(flow);
         flow.start();
     }
@@ -124,6 +137,7 @@
                 .field(
                         "config",
                         context.blackboard().config().map(RouteConfig::version).orElse(-1L))
+                .field("unreadMs", request.ageMs())
                 .field("outcome", outcome)
                 .field("status", status)
                 .write();
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
@@ -2,15 +2,13 @@
 
 import io.hornbeamfield.core.admission.ShutdownStage;
 import io.hornbeamfield.core.attempt.AttemptOutcome;
-import io.hornbeamfield.core.attempt.AttemptPolicy;
-import io.hornbeamfield.core.attempt.AttemptState;
 import io.hornbeamfield.core.attempt.BufferPool;
 import io.hornbeamfield.core.attempt.FirstAnswerTimeout;
 import io.hornbeamfield.core.attempt.NextStep;
+import io.hornbeamfield.core.attempt.RequestTime;
 import io.hornbeamfield.core.attempt.StallTimeout;
 import io.hornbeamfield.core.quarantine.CrashJournal;
 import io.hornbeamfield.core.result.ResultCode;
-import io.hornbeamfield.core.route.RetryPolicy;
 import io.hornbeamfield.core.route.Route;
 import io.hornbeamfield.core.route.RouteConfig;
 import io.hornbeamfield.core.route.ServiceSpec;
@@ -27,12 +25,6 @@
 
 /** Lifecycle of one admitted request, from the reservation of its tokens to its response. */
 final class RequestFlow implements Attempt.Listener, TokenReservation.Listener, BufferPool.Holder {
-    /** Lets a response that a server sends at the deadline arrive first. */
-    private static final long DEADLINE_GRACE_MS = 60;
-
-    /** No server could respond to an attempt with less remaining time. */
-    private static final long MIN_ATTEMPT_MS = 30;
-
     /** A stream is aborted if its caller has more than this many bytes left to read. */
     private static final long MAX_CALLER_BACKLOG_BYTES = 1024 * 1024;
 
@@ -43,17 +35,16 @@
     private final String service;
     private final Optional<ServiceSpec> spec;
     private final Optional<WorkspaceAccess> workspace;
-    private final long arrivedMs;
-    private final long deadlineMs;
+    private final RequestTime time;
     private final Consumer<RequestFlow> onDone;
     private final TokenReservation tokens;
     private final PromptParts parts;
     private final ForwardedStream stream;
     private final ServerSelection servers;
+    private final NextSteps nextSteps;
     private final RequestLog log;
     private final RequestTimers timers;
     private @Nullable Attempt attempt;
-    private long serverWaitLeftMs;
     private int possibleRuns;
     private int attempts;
     private boolean waited;
@@ -67,6 +58,7 @@
             String service,
             Optional<WorkspaceAccess> workspace,
             long configVersion,
+            RequestTime time,
             Consumer<RequestFlow> onDone) {
         this.context = context;
         this.request = request;
@@ -75,29 +67,16 @@
         this.service = service;
         this.spec = context.blackboard().config().flatMap(c -> c.service(service));
         this.workspace = workspace;
-        long unreadMs = request.ageMs();
-        this.arrivedMs = context.clock().millis() - unreadMs;
-        this.deadlineMs = arrivedMs + Math.min(head.timeLeftMs().orElse(Long.MAX_VALUE), route.maxDurationMs());
-        this.serverWaitLeftMs = route.objectiveMs() / 2;
+        this.time = time;
         this.onDone = onDone;
         this.timers = new RequestTimers(context.clock(), context.timers());
         this.tokens = new TokenReservation(context, head, workspace, spec, this);
         this.servers = new ServerSelection(context, service, spec, head);
         this.parts = new PromptParts(context, service, head);
         this.stream = new ForwardedStream(request, head.maxOutputTokens(), context.clock());
-        this.log = new RequestLog(
-                context,
-                head,
-                route,
-                service,
-                workspace,
-                configVersion,
-                parts,
-                servers,
-                stream,
-                arrivedMs,
-                unreadMs,
-                deadlineMs);
+        this.nextSteps = new NextSteps(context, route, service, time, servers, stream);
+        this.log =
+                new RequestLog(context, head, route, service, workspace, configVersion, parts, servers, stream, time);
     }
 
     void start() {
@@ -105,17 +84,9 @@
             refuseQuarantined();
             return;
         }
-        if (remainingMs() < MIN_ATTEMPT_MS) {
-            // It may also have arrived just now; then its caller still has time for another instance.
-            refuse(
-                    ResultCode.OVERLOADED,
-                    "The request may have waited unread until its deadline.",
-                    RelayHandler.OTHER_INSTANCE_RETRY_AFTER_MS);
-            return;
-        }
         context.retries().requestArrived(service);
         request.onCallerGone(this::onCallerGone);
-        timers.startDeadline(remainingMs() + DEADLINE_GRACE_MS, this::onDeadline);
+        timers.startDeadline(time.timeoutMs(), this::onDeadline);
         tokens.start(route.objectiveMs());
         waited = true;
     }
@@ -134,10 +105,6 @@
         refuse(code, detail, retryAfterMs);
     }
 
-    private long remainingMs() {
-        return deadlineMs - context.clock().millis();
-    }
-
     /** Refuses a request under which its server would probably crash. */
     private void refuseQuarantined() {
         String detail = parts.recordRefused();
@@ -162,7 +129,7 @@
         if (done) {
             return;
         }
-        if (remainingMs() < MIN_ATTEMPT_MS) {
+        if (!time.allowsAttempt()) {
             onDeadline();
             return;
         }
@@ -194,7 +161,8 @@
     /** Ends a silent attempt before the deadline once the request can be sent to a further server. */
     private void scheduleSilenceTimeout(Attempt watched) {
         if (route.retryPolicy().allowsRerun() && !stream.started()) {
-            long limit = Math.max(MIN_ATTEMPT_MS, FirstAnswerTimeout.ms(route.retryPolicy(), route.objectiveMs()));
+            long limit = Math.max(
+                    RequestTime.MIN_ATTEMPT_MS, FirstAnswerTimeout.ms(route.retryPolicy(), route.objectiveMs()));
             timers.startSilence(limit, () -> {
                 if (attempt == watched && !stream.started() && watched.status() == 0) {
                     sendElsewhere(watched, "no answer within " + limit + " ms");
@@ -208,24 +176,20 @@
 
     /** Ends a silent attempt if a further server takes the request now; otherwise the silent one may still respond. */
     private void sendElsewhere(Attempt silent, String reason) {
-        boolean sent = silent.sent();
-        AttemptOutcome outcome = sent ? AttemptOutcome.SILENT : AttemptOutcome.NOT_CONNECTED;
-        boolean mayRetry = !sent || context.retries().mayRetry(service);
-        NextStep next = AttemptPolicy.next(outcome, state(possibleRuns + (sent ? 1 : 0), mayRetry));
-        if (servers.hasUntried(0) && (next == NextStep.SEND_AGAIN || next == NextStep.RESUME)) {
+        if (nextSteps.maySendElsewhere(silent.sent(), possibleRuns)) {
             silent.endAsSilent(reason);
         }
     }
 
     /** Returns the request to send, empty if too little time is left. */
     private Optional<OutboundRequest> outbound(ServerConnectionPool pool) {
-        if (remainingMs() < MIN_ATTEMPT_MS) {
+        if (!time.allowsAttempt()) {
             return Optional.empty();
         }
         boolean keysRequired =
                 context.blackboard().config().map(RouteConfig::keysRequired).orElse(true);
         return Optional.of(ForwardedRequest.of(
-                pool.server().id(), request, keysRequired, workspace, remainingMs(), stream.lastEventId()));
+                pool.server().id(), request, keysRequired, workspace, time.remainingMs(), stream.lastEventId()));
     }
 
     @Override
@@ -301,27 +265,13 @@
         possibleRuns += mayHaveRun ? 1 : 0;
         context.pools().suspendIfUnusable(ended, end, reason);
         boolean suspect = parts.reportIfSuspect(ended, end);
-        NextStep step = AttemptPolicy.next(end, suspect ? state(possibleRuns, false) : stateAfter(end));
+        NextStep step = nextSteps.after(end, possibleRuns, suspect);
         if (step != NextStep.DELIVER || end != AttemptOutcome.ANSWERED) {
             log.attemptEnded(ended, end, reason, suspect, attempts, possibleRuns, step);
         }
         execute(step, ended, reason);
     }
 
-    private AttemptState stateAfter(AttemptOutcome end) {
-        NextStep unlimitedStep = AttemptPolicy.next(end, state(possibleRuns, true));
-        boolean repeats = unlimitedStep == NextStep.SEND_AGAIN || unlimitedStep == NextStep.RESUME;
-        boolean reached = end != AttemptOutcome.NOT_CONNECTED;
-        return state(possibleRuns, !repeats || !reached || context.retries().tryRetry(service));
-    }
-
-    private AttemptState state(int runs, boolean retryAllowed) {
-        boolean maySend = context.blackboard().shutdownStage().allowsSending(true);
-        boolean timeLeft = maySend && remainingMs() > MIN_ATTEMPT_MS && servers.hasUntried(serverWaitLeftMs);
-        RetryPolicy policy = stream.retryPolicy(route.retryPolicy());
-        return new AttemptState(policy, runs, route.maxAttempts(), stream.started(), timeLeft, retryAllowed);
-    }
-
     private void execute(NextStep step, Attempt ended, String reason) {
         switch (step) {
             case DELIVER -> deliver(ended);
@@ -345,8 +295,7 @@
 
     private void onNoServer() {
         long waitMs = servers.delayMs().orElse(Long.MAX_VALUE);
-        if (waitMs <= serverWaitLeftMs) {
-            serverWaitLeftMs -= waitMs;
+        if (nextSteps.tryWait(waitMs)) {
             context.timers().after(waitMs, this::dispatchIfCallerWaits);
         } else if (stream.started()) {
             abortStream("no-server-to-resume");
@@ -358,7 +307,10 @@
     }
 
     private void refuseWithoutServer(String detail) {
-        refuse(ResultCode.NO_BACKEND, detail, context.refusals().delayMs(service, remainingMs(), servers.earliestMs()));
+        refuse(
+                ResultCode.NO_BACKEND,
+                detail,
+                context.refusals().delayMs(service, time.remainingMs(), servers.earliestMs()));
     }
 
     private void refuse(ResultCode code, String detail, long retryAfterMs) {
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestLog.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestLog.java
@@ -2,6 +2,7 @@
 
 import io.hornbeamfield.core.attempt.AttemptOutcome;
 import io.hornbeamfield.core.attempt.NextStep;
+import io.hornbeamfield.core.attempt.RequestTime;
 import io.hornbeamfield.core.route.Route;
 import io.hornbeamfield.core.route.WorkspaceAccess;
 import io.hornbeamfield.platform.RequestHead;
@@ -20,9 +21,7 @@
         PromptParts parts,
         ServerSelection servers,
         ForwardedStream stream,
-        long arrivedMs,
-        long unreadMs,
-        long deadlineMs) {
+        RequestTime time) {
 
     void attemptEnded(
             Attempt ended,
@@ -43,13 +42,13 @@
                 .field("parts", parts.describe())
                 .field("suspect", suspect ? 1 : 0)
                 .field("possibleRuns", possibleRuns)
-                .field("leftMs", deadlineMs - context.clock().millis())
+                .field("leftMs", time.remainingMs())
                 .field("next", step.name())
                 .write();
     }
 
     void requestEnded(String outcome, int status, int attempts, long usedTokens, boolean callerGone) {
-        long durationMs = context.clock().millis() - arrivedMs;
+        long durationMs = time.elapsedMs();
         context.metrics().counter("requests." + outcome).inc();
         context.metrics()
                 .timer("request." + route.retryPolicy().name().toLowerCase(Locale.ROOT))
@@ -67,11 +66,11 @@
                 .field("outcome", outcome)
                 .field("status", status)
                 .field("ms", durationMs)
-                .field("unreadMs", unreadMs)
+                .field("unreadMs", time.unreadMs())
                 .field("firstEventMs", stream.firstEventMs())
                 .field("events", stream.events())
                 .field("tokens", usedTokens)
-                .field("limitMs", deadlineMs - arrivedMs)
+                .field("limitMs", time.limitMs())
                 .field("callerConnected", callerGone ? 0 : 1)
                 .write();
     }
