Refuse malformed pipelined requests in their turn

What callers saw: 400 in place of the answer to the request before, which a server was running.

Cause: the codec answers what it cannot parse at once.

Change: InboundFilter refuses a broken body in its turn; after a head that cannot be parsed the connection ends with the earlier answers.

--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundFilter.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundFilter.java
@@ -46,7 +46,11 @@
     @Override
     public NextAction handleRead(FilterChainContext ctx) {
         HttpContent content = ctx.getMessage();
-        ConnectionInput.of(ctx.getConnection()).parsed(content);
+        if (HttpContent.isBroken(content)) {
+            ConnectionInput.of(ctx.getConnection()).discarded();
+        } else {
+            ConnectionInput.of(ctx.getConnection()).parsed(content);
+        }
         InboundState state = InboundConnections.stateOf(ctx.getConnection());
         if (state != null) {
             serial.run(() -> read(ctx.getConnection(), state, content));
@@ -70,6 +74,9 @@
             checkHead(request, head);
             request.keepHead();
         }
+        if (HttpContent.isBroken(content)) {
+            request.refuse(BAD_REQUEST);
+        }
         if (!request.isRefused()) {
             request.append(bytes(content.getContent()));
             if (request.bodyLength() > limits.get().maxBodyBytes()) {
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundState.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundState.java
@@ -136,6 +136,23 @@
         return readingStopped;
     }
 
+    /**
+     * Discards further input and closes the connection once its requests are answered. Returns false if there are none.
+     * Callable from any thread.
+     */
+    boolean closeAfterPending() {
+        boolean[] pending = new boolean[1];
+        serial.run(() -> {
+            GrizzlyInboundRequest request = last();
+            if (request != null) {
+                stopReading();
+                request.closeInAnyCase();
+                pending[0] = true;
+            }
+        });
+        return pending[0];
+    }
+
     /** Ends the current request and begins the next one, if there is one. */
     void requestFinished(Consumer<GrizzlyInboundRequest> begin) {
         current = null;
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/RequestCodecFilter.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/RequestCodecFilter.java
@@ -1,9 +1,11 @@
 package io.hornbeamfield.net.relay.internal;
 
 import io.hornbeamfield.net.http.internal.ChunkFraming;
+import java.io.IOException;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Grizzly;
 import org.glassfish.grizzly.attributes.Attribute;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.http.HttpHeader;
 import org.glassfish.grizzly.http.HttpServerFilter;
 import org.glassfish.grizzly.http.KeepAlive;
@@ -30,6 +32,21 @@
         return Boolean.TRUE.equals(HAD_LENGTH_AND_CHUNKS.get(head));
     }
 
+    /** A head that cannot be parsed names no request, so that its connection ends after the earlier answers. */
+    @Override
+    protected void onHttpHeaderError(HttpHeader head, FilterChainContext ctx, Throwable error) throws IOException {
+        InboundState state = InboundConnections.stateOf(ctx.getConnection());
+        if (state == null || !state.closeAfterPending()) {
+            super.onHttpHeaderError(head, ctx, error);
+        }
+    }
+
+    /** Leaves the refusal to {@link InboundFilter}, since earlier requests may not have been answered yet. */
+    @Override
+    protected void onHttpContentError(HttpHeader head, FilterChainContext ctx, Throwable error) {
+        head.setContentBroken(true);
+    }
+
     @Override
     protected boolean parseHeadersFromBytes(
             HttpHeader head, MimeHeaders headers, HeaderParsingState state, byte[] input, int end) {
--- a/net/src/test/java/io/hornbeamfield/net/relay/PipelinedRequestTest.java
+++ b/net/src/test/java/io/hornbeamfield/net/relay/PipelinedRequestTest.java
@@ -17,6 +17,10 @@
 /** Guards against requests that are read while another one is in progress, and never answered (RFC 9112, 9.3.2). */
 final class PipelinedRequestTest {
     private static final int TIMEOUT_MS = 10_000;
+
+    /** More than the codec accepts. */
+    private static final int LONG_HEAD_BYTES = 140 * 1024;
+
     private static final InboundLimits LIMITS = new InboundLimits(4_096, 20_000, 60_000, 60_000);
 
     private final Serial serial = new Serial();
@@ -131,14 +135,28 @@
         assertThat(requests).isEmpty();
     }
 
-    /** The codec refuses a malformed chunk at once, in place of the answer to the request that is in progress. */
+    /** Guards against a refusal by the codec in place of the answer to the request that is in progress. */
     @Test
     void aMalformedRequestDoesNotTakeTheAnswerOfTheOneBefore() throws Exception {
         Socket s = connect(get("/1") + "POST /2 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n");
         InboundRequest first = next();
         Thread.sleep(100);
         answer(first);
-        assertThat(readAll(s)).startsWith("HTTP/1.1 200").contains("</1>");
+        assertThat(readAll(s)).matches("(?s)HTTP/1.1 200.*</1>HTTP/1.1 400.*");
+        assertThat(requests).isEmpty();
+    }
+
+    /** The codec refuses such a head at once as well. */
+    @Test
+    void aHeadWithoutEndDoesNotTakeTheAnswerOfTheRequestBefore() throws Exception {
+        Socket s = connect(get("/1"));
+        InboundRequest first = next();
+        s.getOutputStream()
+                .write(("GET /2 HTTP/1.1\r\nX: " + "x".repeat(LONG_HEAD_BYTES)).getBytes(StandardCharsets.ISO_8859_1));
+        Thread.sleep(300);
+        answer(first);
+        assertThat(readAll(s)).startsWith("HTTP/1.1 200").contains("</1>").doesNotContain("HTTP/1.1 400");
+        assertThat(requests).isEmpty();
     }
 
     @Test
