--- a/entry/src/test/java/io/hornbeamfield/entry/traffic/FakeTransport.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/traffic/FakeTransport.java
@@ -84,7 +84,7 @@
         private final Map<String, String> headers;
         private boolean endArrived;
         private boolean gone;
-        private int status;
+        private volatile int status;
         private @Nullable Runnable onGone;
 
         private CallerRequest(String path, Map<String, String> headers) {
--- a/entry/src/test/java/io/hornbeamfield/entry/traffic/LateDispatchTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/traffic/LateDispatchTest.java
@@ -27,6 +27,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -40,6 +41,7 @@
 final class LateDispatchTest {
     private static final long DEADLINE_MS = 60_000;
     private static final long OBJECTIVE_MS = 120_000;
+    private static final long PAUSE_MS = 100;
     private static final long PREPAID_TOKENS = 1_000_000;
 
     private final ManualClock clock = ManualClock.atEpochSecond(1_000);
@@ -164,6 +166,39 @@
         assertEnded(end, request, 503);
     }
 
+    /** The wait itself is a timer, which runs in real time. */
+    @ParameterizedTest
+    @EnumSource(End.class)
+    void aRequestThatWaitedForAPauseOfItsServersIsNotSentTooLate(End end) {
+        blackboard.servers(Map.of("plain", List.of(server("i-1"))));
+        request("/write/x", "0,0");
+        FakeTransport.ServerConnection paused = transport.open();
+        paused.listener()
+                .onHead(
+                        503,
+                        List.of(
+                                new Header("X-Attempt-Id", "a1"),
+                                new Header("X-Not-Executed", "1"),
+                                new Header("Retry-After", "0.1")));
+        paused.listener().onEnd(false);
+        FakeTransport.CallerRequest request = request("/write/x", "0,0");
+        assertThat(transport.connecting()).isZero();
+        reach(end, request);
+        clock.advance(Duration.ofMillis(PAUSE_MS));
+        // The answer follows the end of the request.
+        await(() -> traffic.openRequests() == 0 && (end == End.CALLER || request.status() > 0));
+        assertThat(transport.connecting()).isZero();
+        assertEnded(end, request, 503);
+    }
+
+    private static void await(BooleanSupplier condition) {
+        long end = System.nanoTime() + Duration.ofSeconds(10).toNanos();
+        while (!condition.getAsBoolean() && System.nanoTime() < end) {
+            Thread.onSpinWait();
+        }
+        assertThat(condition.getAsBoolean()).isTrue();
+    }
+
     @ParameterizedTest
     @EnumSource(End.class)
     void aRequestIsNotSentToAnotherServerTooLate(End end) {
--- a/router/src/test/java/io/hornbeamfield/router/traffic/HeldUpRouterTest.java
+++ b/router/src/test/java/io/hornbeamfield/router/traffic/HeldUpRouterTest.java
@@ -4,6 +4,10 @@
 
 import io.hornbeamfield.core.time.MonotonicClock;
 import io.hornbeamfield.net.http.HttpReply;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.time.Clock;
 import java.time.Instant;
 import java.time.ZoneId;
@@ -86,4 +90,25 @@
         }
         assertThat(engine.started).isEmpty();
     }
+
+    @Test
+    void requestsWhoseCallersHaveLeftUnhandledDoNotRun() throws IOException, InterruptedException {
+        router.load.add("models", "e1", engine.address());
+        byte[] body = TestRouter.chatBody(false);
+        String head = "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer secret-key\r\n"
+                + "Content-Type: application/json\r\nContent-Length: " + body.length + "\r\n\r\n";
+        clock.hold();
+        for (int i = 0; i < CALLERS; i++) {
+            try (Socket s = new Socket(InetAddress.getLoopbackAddress(), router.traffic.port())) {
+                s.getOutputStream().write(head.getBytes(StandardCharsets.ISO_8859_1));
+                s.getOutputStream().write(body);
+            }
+        }
+        TimeUnit.MILLISECONDS.sleep(HELD_UP_MS);
+        clock.release();
+        assertThat(Sse.code(router.send(router.chat(false).header("Hornbeamfield-Deadline-Ms", "0"))))
+                .isEqualTo(DEADLINE_PASSED);
+        TimeUnit.MILLISECONDS.sleep(HELD_UP_MS);
+        assertThat(engine.started).isEmpty();
+    }
 }
