Tell the answer of a service from a refusal of the router

The client library took each response with problem details for the router's statement. A service that answered a call with problem details and a code of this system, after it had run the call, made the library report "not run" and send the call under a new key.

The router adds the key of the request to each answer that it passes on and to no refusal, so a response with the key is the service's answer.

RetryTest.problemDetailsOfAServiceAreItsAnswerAndNoRefusalOfTheRouter failed before (two requests in place of one) and passes now; found in the code, no fleet run showed it.

--- a/client/src/main/java/io/hornbeamfield/client/internal/ProblemReader.java
+++ b/client/src/main/java/io/hornbeamfield/client/internal/ProblemReader.java
@@ -29,7 +29,12 @@
                 : refusal;
     }
 
-    static boolean isProblem(Map<String, String> headers) {
-        return headers.getOrDefault("content-type", "").startsWith("application/problem+json");
+    /**
+     * Returns whether a response is a refusal of the router. An answer of a service may have problem details too; the
+     * router adds the key of the request to each answer that it passes on.
+     */
+    static boolean isRefusal(Map<String, String> headers) {
+        return headers.getOrDefault("content-type", "").startsWith("application/problem+json")
+                && !headers.containsKey("idempotency-key");
     }
 }
--- a/client/src/main/java/io/hornbeamfield/client/internal/ServiceSender.java
+++ b/client/src/main/java/io/hornbeamfield/client/internal/ServiceSender.java
@@ -79,7 +79,7 @@
                     ? new AttemptResult.NotSent(String.valueOf(failure))
                     : new AttemptResult.Incomplete(String.valueOf(failure));
         }
-        if (ProblemReader.isProblem(reply.headers())) {
+        if (ProblemReader.isRefusal(reply.headers())) {
             return ProblemReader.read(reply.body(), reply.headers())
                     .<AttemptResult>map(AttemptResult.Refused::new)
                     .orElseGet(() -> new AttemptResult.Incomplete(
--- a/client/src/test/java/io/hornbeamfield/client/RetryTest.java
+++ b/client/src/test/java/io/hornbeamfield/client/RetryTest.java
@@ -4,8 +4,10 @@
 
 import io.hornbeamfield.core.result.Refusal;
 import io.hornbeamfield.core.result.ResultCode;
+import io.hornbeamfield.net.json.Json;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -85,6 +87,24 @@
         assertThat(second.keys).singleElement().asString().startsWith("r2-00000002.");
     }
 
+    /** Guards against a call that runs twice because its service answered with problem details of its own. */
+    @Test
+    void problemDetailsOfAServiceAreItsAnswerAndNoRefusalOfTheRouter() {
+        byte[] body = Json.bytes(Map.of("code", ResultCode.OVERLOADED.number(), "ran", "no"));
+        first.script.add(x -> x.reply(
+                503,
+                Map.of(
+                        "Content-Type",
+                        "application/problem+json",
+                        "Idempotency-Key",
+                        x.header("Idempotency-Key").orElseThrow()),
+                body));
+        assertThat(order())
+                .isInstanceOfSatisfying(
+                        Outcome.Answered.class, a -> assertThat(a.status()).isEqualTo(503));
+        assertThat(first.keys.size() + second.keys.size()).isEqualTo(1);
+    }
+
     @Test
     void retryAfterIsHonoured() {
         first.script.add(
--- a/router/src/test/java/io/hornbeamfield/router/traffic/ServiceCallTest.java
+++ b/router/src/test/java/io/hornbeamfield/router/traffic/ServiceCallTest.java
@@ -59,6 +59,15 @@
         assertThat(router.budgets.spent()).isEqualTo(7);
     }
 
+    /** Clients tell an answer of a service from a refusal of the router by the key. */
+    @Test
+    void answersOfServicesBearTheKeyAndRefusalsOfTheRouterDoNot() {
+        String key = router.key("orderone1");
+        assertThat(router.send(order(key)).headers()).containsEntry("idempotency-key", key);
+        HttpReply refused = router.send(order(key).body("other".getBytes(UTF_8)));
+        assertThat(refused.headers()).doesNotContainKey("idempotency-key");
+    }
+
     @Test
     void repeatedKeyGetsTheSameAnswerWithoutASecondRun() {
         String key = router.key("orderone1");
