Answer "not run" only if a server has stated it

Callers saw 503 (or 408, 421, 429) for requests that a server had run, and repeated them: a server's own refusal without X-Not-Executed was passed on, and callers take these statuses for the promise that a request has not run. 421 counted as proof without the header, so that a request that may run once could go to a further server.

Cause: an answer counted as declined by its header or status 421, and any other one was delivered, whatever its status means to the caller. NotRunPromise now decides for each answer by status, header and ownership; what is not proven ends with 502 or is repeated where the route allows it. Refusals of the system itself pass the same class. The 502 names the status and passes on Retry-After; requests that all servers declined are refused with at least the shortest time that these named.

--- a/core/src/main/java/io/hornbeamfield/core/attempt/AttemptPolicy.java
+++ b/core/src/main/java/io/hornbeamfield/core/attempt/AttemptPolicy.java
@@ -20,7 +20,7 @@
             case ANSWERED -> NextStep.DELIVER;
             case ANSWERED_FAILURE -> afterFailure(state);
             case NOT_CONNECTED, DECLINED -> afterNoRun(state);
-            case BROKEN, SILENT, OTHER_ANSWER -> afterPossibleRun(state);
+            case UNPROVEN_REFUSAL, BROKEN, SILENT, OTHER_ANSWER -> afterPossibleRun(state);
         };
     }
 
--- a/core/src/test/java/io/hornbeamfield/core/attempt/AttemptPolicyTest.java
+++ b/core/src/test/java/io/hornbeamfield/core/attempt/AttemptPolicyTest.java
@@ -21,6 +21,13 @@
         "ANSWERED_FAILURE, STREAM,           1, 3, false, DELIVER",
         "ANSWERED_FAILURE, IDEMPOTENT,       1, 2, false, SEND_AGAIN",
         "ANSWERED_FAILURE, IDEMPOTENT,       2, 2, false, DELIVER",
+        "UNPROVEN_REFUSAL, NON_IDEMPOTENT,   1, 3, false, FAIL",
+        "UNPROVEN_REFUSAL, STREAM,           1, 3, false, FAIL",
+        "UNPROVEN_REFUSAL, IDEMPOTENT,       1, 2, false, SEND_AGAIN",
+        "UNPROVEN_REFUSAL, IDEMPOTENT,       2, 2, false, FAIL",
+        "UNPROVEN_REFUSAL, RESUMABLE_STREAM, 1, 2, false, SEND_AGAIN",
+        "UNPROVEN_REFUSAL, RESUMABLE_STREAM, 1, 2, true,  RESUME",
+        "UNPROVEN_REFUSAL, STREAM,           1, 2, true,  CUT",
         "NOT_CONNECTED,    NON_IDEMPOTENT,   0, 1, false, SEND_AGAIN",
         "NOT_CONNECTED,    RESUMABLE_STREAM, 1, 2, true,  RESUME",
         "DECLINED,         NON_IDEMPOTENT,   0, 1, false, SEND_AGAIN",
@@ -73,8 +80,7 @@
     void aRequestThatMayHaveRunIsNeverRefusedAsNotRun() {
         for (AttemptState state : allStates()) {
             for (AttemptOutcome outcome : AttemptOutcome.values()) {
-                boolean mayHaveRunNow = outcome != AttemptOutcome.NOT_CONNECTED && outcome != AttemptOutcome.DECLINED;
-                if (mayHaveRunNow || state.possibleRuns() > 0) {
+                if (outcome.mayHaveRun() || state.possibleRuns() > 0) {
                     assertThat(AttemptPolicy.next(outcome, state)).isNotEqualTo(NextStep.REFUSE);
                 }
             }
@@ -85,8 +91,11 @@
     void aRequestThatMustNotBeRepeatedIsNeverSentAgainAfterAPossibleRun() {
         for (AttemptState state : allStates()) {
             if (!state.retryPolicy().allowsRerun()) {
-                for (AttemptOutcome outcome :
-                        List.of(AttemptOutcome.BROKEN, AttemptOutcome.SILENT, AttemptOutcome.ANSWERED_FAILURE)) {
+                for (AttemptOutcome outcome : List.of(
+                        AttemptOutcome.BROKEN,
+                        AttemptOutcome.SILENT,
+                        AttemptOutcome.UNPROVEN_REFUSAL,
+                        AttemptOutcome.ANSWERED_FAILURE)) {
                     assertThat(AttemptPolicy.next(outcome, state)).isNotIn(NextStep.SEND_AGAIN, NextStep.RESUME);
                 }
             }
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/Attempt.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/Attempt.java
@@ -1,6 +1,5 @@
 package io.hornbeamfield.entry.traffic;
 
-import io.hornbeamfield.core.attempt.AnswerMatch;
 import io.hornbeamfield.core.attempt.AttemptOutcome;
 import io.hornbeamfield.core.attempt.InputAllowance;
 import io.hornbeamfield.core.attempt.KeepAliveTimeout;
@@ -11,7 +10,6 @@
 import io.hornbeamfield.net.relay.OutboundRequest;
 import io.hornbeamfield.platform.ServerNotice;
 import io.hornbeamfield.platform.ServerRate;
-import io.hornbeamfield.platform.Wire;
 import java.io.ByteArrayOutputStream;
 import java.util.List;
 import java.util.Optional;
@@ -26,8 +24,6 @@
     /** Bounds the number of parts of a buffered response to some thousands. */
     private static final int BODY_PART_COST_BYTES = 1_024;
 
-    private static final int FIRST_SERVER_ERROR = 500;
-
     /** Status with which a full server declines a request. */
     private static final int UNAVAILABLE = 503;
 
@@ -53,9 +49,7 @@
     private boolean done;
     private boolean promptRead;
     private boolean streaming;
-    private int status;
-    private List<Header> headers = List.of();
-    private boolean declined;
+    private AnswerHead head = AnswerHead.NONE;
     private boolean isStream;
     private boolean excessive;
     private long firstEventMs;
@@ -130,11 +124,16 @@
     }
 
     int status() {
-        return status;
+        return head.status();
     }
 
     List<Header> headers() {
-        return headers;
+        return head.headers();
+    }
+
+    /** Returns the time after which the server asks for the request to be sent again, 0 if it names none. */
+    long retryAfterMs() {
+        return head.retryAfterMs();
     }
 
     int bodyBytes() {
@@ -202,34 +201,19 @@
     @Override
     public void onHead(int answerStatus, List<Header> answerHeaders) {
         pool.recordReceived();
-        status = answerStatus;
-        headers = answerHeaders;
         pool.recordRate(ServerRate.of(answerHeaders));
         ServerNotice notice = ServerNotice.of(answerStatus, answerHeaders);
         pool.recordNotice(server, notice);
-        String answeredId = Header.find(answerHeaders, Wire.ATTEMPT_ID).orElse("");
-        boolean signed = Header.find(answerHeaders, Wire.SIGNATURE).isPresent();
-        boolean refused = Header.find(answerHeaders, Wire.NOT_RUN).isPresent() || answerStatus == Wire.WRONG_SERVER;
-        AnswerMatch match = AnswerMatch.of(attemptId, answeredId, reused);
-        // A late copy of another request's refusal says nothing about this one, which the server may be running.
-        declined = refused && match == AnswerMatch.OWN;
-        if (declined && answerStatus == UNAVAILABLE && !notice.leaving()) {
+        head = AnswerHead.of(answerStatus, answerHeaders, attemptId, reused);
+        if (isDeclined() && answerStatus == UNAVAILABLE && !notice.leaving()) {
             observer.refused();
         }
-        if (match == AnswerMatch.OTHER) {
-            discardAndEnd(
-                    AttemptOutcome.BROKEN, "the response belongs to attempt " + answeredId + ", not " + attemptId);
-        } else if (refused && !declined) {
-            discardAndEnd(AttemptOutcome.BROKEN, "the refusal on a reused connection has no attempt id");
-        } else if (!declined && status / 100 == 2 && !signed) {
-            discardAndEnd(AttemptOutcome.BROKEN, "the response has no signature");
-        } else if (!declined
-                && status / 100 == 2
-                && Header.find(answerHeaders, "Content-Encoding").isPresent()) {
-            // Callers and this system ask for no encoding, so that this is not the body that the server meant to send.
-            discardAndEnd(AttemptOutcome.BROKEN, "the response has a Content-Encoding");
-        }
-        isStream = !done && !declined && status / 100 == 2 && listener.isStream(answerHeaders);
+        head.fault().ifPresent(fault -> discardAndEnd(AttemptOutcome.BROKEN, fault));
+        isStream = !done && head.isSuccess() && listener.isStream(answerHeaders);
+    }
+
+    private boolean isDeclined() {
+        return head.outcome() == AttemptOutcome.DECLINED;
     }
 
     @Override
@@ -266,20 +250,14 @@
             pool.discard(c);
         }
         connection = null;
-        if (declined) {
-            end(AttemptOutcome.DECLINED, "status " + status);
-        } else {
-            end(
-                    status >= FIRST_SERVER_ERROR ? AttemptOutcome.ANSWERED_FAILURE : AttemptOutcome.ANSWERED,
-                    "status " + status);
-        }
+        end(head.outcome(), head.describe());
     }
 
     @Override
     public void onBroken(String reason) {
         if (!done) {
-            connectionLost = !declined;
-            discardAndEnd(declined ? AttemptOutcome.DECLINED : AttemptOutcome.BROKEN, reason);
+            connectionLost = !isDeclined();
+            discardAndEnd(isDeclined() ? AttemptOutcome.DECLINED : AttemptOutcome.BROKEN, reason);
         }
     }
 
@@ -387,6 +365,6 @@
     }
 
     private long idleLimitMs() {
-        return KeepAliveTimeout.ms(Header.find(headers, "Keep-Alive").orElse(""));
+        return KeepAliveTimeout.ms(Header.find(head.headers(), "Keep-Alive").orElse(""));
     }
 }
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
@@ -5,6 +5,7 @@
 import io.hornbeamfield.core.attempt.BufferPool;
 import io.hornbeamfield.core.attempt.FirstAnswerTimeout;
 import io.hornbeamfield.core.attempt.NextStep;
+import io.hornbeamfield.core.attempt.NotRunPromise;
 import io.hornbeamfield.core.attempt.RequestTime;
 import io.hornbeamfield.core.attempt.StallTimeout;
 import io.hornbeamfield.core.quarantine.CrashJournal;
@@ -108,12 +109,7 @@
 
     /** Refuses a request under which its server would probably crash. */
     private void refuseQuarantined() {
-        String detail = parts.recordRefused();
-        if (possibleRuns > 0) {
-            refuse(ResultCode.BACKEND_FAILED, detail, 0);
-        } else {
-            refuse(ResultCode.PROMPT_QUARANTINED, detail, CrashJournal.RETENTION_MS);
-        }
+        refuse(ResultCode.PROMPT_QUARANTINED, parts.recordRefused(), CrashJournal.RETENTION_MS);
     }
 
     @Override
@@ -263,8 +259,10 @@
         AttemptOutcome end = stream.outcomeOf(ended, outcome);
         attempt = null;
         timers.cancelSilence();
-        boolean mayHaveRun = end != AttemptOutcome.NOT_CONNECTED && end != AttemptOutcome.DECLINED;
-        possibleRuns += mayHaveRun ? 1 : 0;
+        possibleRuns += end.mayHaveRun() ? 1 : 0;
+        if (end == AttemptOutcome.DECLINED) {
+            servers.recordDeclined(ended.retryAfterMs());
+        }
         context.pools().suspendIfUnusable(ended, end, reason);
         boolean suspect = parts.reportIfSuspect(ended, end);
         NextStep step = nextSteps.after(end, possibleRuns, suspect);
@@ -279,7 +277,8 @@
             case DELIVER -> deliver(ended);
             case SEND_AGAIN, RESUME -> dispatchIfCallerWaits();
             case REFUSE -> refuseWithoutServer(servers.recordRefused("No backend server could take the request."));
-            case FAIL -> refuse(ResultCode.BACKEND_FAILED, "The backend server failed: " + reason, 0);
+            case FAIL ->
+                refuse(ResultCode.BACKEND_FAILED, "The backend server failed: " + reason, ended.retryAfterMs());
             case CUT -> abortStream("stream-broken");
             default -> throw new IllegalStateException("Unexpected next step " + step + ".");
         }
@@ -320,8 +319,9 @@
             abortStream(code.name());
             return;
         }
-        finish(code.name(), code.httpStatus());
-        Responses.refuse(request, code, detail, retryAfterMs);
+        ResultCode proven = NotRunPromise.refusalCode(code, possibleRuns > 0);
+        finish(proven.name(), proven.httpStatus());
+        Responses.refuse(request, proven, detail, retryAfterMs);
     }
 
     private void abortStream(String outcome) {
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerConnectionPools.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerConnectionPools.java
@@ -201,7 +201,8 @@
      */
     void suspendIfUnusable(Attempt ended, AttemptOutcome end, String reason) {
         boolean unreachable = end == AttemptOutcome.NOT_CONNECTED && !ended.isWithheld();
-        boolean replaced = end == AttemptOutcome.DECLINED && ended.status() == Wire.WRONG_SERVER;
+        boolean replaced = ended.status() == Wire.WRONG_SERVER
+                && (end == AttemptOutcome.DECLINED || end == AttemptOutcome.UNPROVEN_REFUSAL);
         // A server that tolerates few requests after its start may have restarted.
         boolean restarted =
                 ended.isConnectionLost() && cold.applies(ended.pool().server());
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerSelection.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerSelection.java
@@ -25,6 +25,7 @@
     private final HomeRegions homeRegions;
     private final Set<String> tried = new HashSet<>();
     private StreamObserver observer = StreamObserver.NONE;
+    private OptionalLong shortestRetryAfterMs = OptionalLong.empty();
 
     ServerSelection(
             TrafficContext context,
@@ -69,9 +70,16 @@
         return untried().stream().mapToLong(ServerConnectionPool::delayMs).min();
     }
 
+    /** Records that a server declined the request and when it asked for it again, 0 if it named no time. */
+    void recordDeclined(long retryAfterMs) {
+        shortestRetryAfterMs = OptionalLong.of(Math.min(retryAfterMs, shortestRetryAfterMs.orElse(retryAfterMs)));
+    }
+
     /** Returns the time until any server takes a further request, 0 if none is known that will. */
     long earliestMs() {
-        return usable().stream().mapToLong(ServerConnectionPool::delayMs).min().orElse(0);
+        long delayMs =
+                usable().stream().mapToLong(ServerConnectionPool::delayMs).min().orElse(0);
+        return untried().isEmpty() ? Math.max(delayMs, shortestRetryAfterMs.orElse(0)) : delayMs;
     }
 
     /**
--- a/router/src/main/java/io/hornbeamfield/router/traffic/internal/RequestRun.java
+++ b/router/src/main/java/io/hornbeamfield/router/traffic/internal/RequestRun.java
@@ -5,8 +5,8 @@
 import io.hornbeamfield.core.admission.AdmissionQueue;
 import io.hornbeamfield.core.admission.AdmissionRequest;
 import io.hornbeamfield.core.admission.AdmissionSlot;
+import io.hornbeamfield.core.attempt.NotRunPromise;
 import io.hornbeamfield.core.budget.Reservation;
-import io.hornbeamfield.core.result.Ran;
 import io.hornbeamfield.core.result.Refusal;
 import io.hornbeamfield.core.result.Result;
 import io.hornbeamfield.core.result.ResultCode;
@@ -295,10 +295,10 @@
      * run it.
      */
     private void finishRefused(Refusal refusal) {
-        boolean claimsNotRun = mayHaveRun && refusal.code().ran() == Ran.NO;
-        Refusal corrected = claimsNotRun
-                ? Refusal.of(ResultCode.BACKEND_FAILED, "An earlier attempt failed. " + refusal.detail())
-                : refusal;
+        ResultCode proven = NotRunPromise.refusalCode(refusal.code(), mayHaveRun);
+        Refusal corrected = proven == refusal.code()
+                ? refusal
+                : Refusal.of(proven, "An earlier attempt failed. " + refusal.detail());
         finish(new AnswerOutcome.Refused(corrected), "failed");
     }
 
