Read a ledger again that could not be decoded

A daemon that read an invalid ledger of prepaid tokens made no further call for tokens until its next start and answered 429, also after the ledger had been repaired: decoding failed within the handling of the answer, so that the call counted as in progress.

Such a ledger is logged, shows nothing, is not overwritten, and is read again.

PrepaidStartTest.nothingIsTakenWhileTheLedgerCannotBeRead failed before (no request served within 15 s after the repair) and passes.

--- a/entry/src/main/java/io/hornbeamfield/entry/control/PrepaidController.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/PrepaidController.java
@@ -10,6 +10,7 @@
 import io.hornbeamfield.platform.StoreClient;
 import io.hornbeamfield.platform.StoreObject;
 import io.hornbeamfield.platform.WriteResult;
+import java.io.UncheckedIOException;
 import java.time.Clock;
 import java.util.Collection;
 import java.util.Objects;
@@ -225,7 +226,11 @@
             storeLost = false;
             ledgerAbsent = found.isEmpty();
             found.ifPresent(this::observe);
-            advance();
+            if (ledgerAbsent || lastObserved != null) {
+                advance();
+            } else {
+                retryLater();
+            }
         }
     }
 
@@ -300,10 +305,22 @@
                 TimeUnit.MILLISECONDS);
     }
 
+    /** Applies a ledger. One that cannot be read shows nothing, so that nothing may be taken on the basis of it. */
     private void observe(StoreObject object) {
+        PrepaidLedger ledger;
+        try {
+            ledger = decodeLedger(object);
+        } catch (UncheckedIOException e) {
+            lastObserved = null;
+            log.event("prepaid-ledger-unreadable")
+                    .field("revision", object.revision())
+                    .field("reason", String.valueOf(e.getMessage()))
+                    .write();
+            return;
+        }
         lastObserved = object;
         observedAtMs = clock.millis();
-        book.applyLedger(decodeLedger(object), object.revision());
+        book.applyLedger(ledger, object.revision());
     }
 
     private static PrepaidLedger decodeLedger(StoreObject object) {
--- a/entry/src/test/java/io/hornbeamfield/entry/PrepaidStartTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/PrepaidStartTest.java
@@ -63,4 +63,18 @@
         assertThat(call()).isEqualTo(402);
         assertThat(taken()).isEqualTo(TOTAL);
     }
+
+    @Test
+    void nothingIsTakenWhileTheLedgerCannotBeRead() throws InterruptedException {
+        fleet.store.put("prepaid", "ledger", Json.mapper().createObjectNode().put("taken", "none"));
+        fleet.configure(1);
+        fleet.startReady();
+        awaitLedgerRead();
+        assertThat(call()).isEqualTo(429);
+        assertThat(fleet.store.content("prepaid", "ledger").path("taken").asText())
+                .isEqualTo("none");
+        putLedger(0);
+        EntryFixture.await(() -> call() == 200);
+        assertThat(taken()).isPositive().isLessThanOrEqualTo(TOTAL);
+    }
 }
