Log what tells a late configuration from one that is handled late

The users' record of CONFIG has a 404 by an older version 3.1 s after the store acknowledged the newer one. Neither the refusal nor the adoption said whether the store had answered late, its answer had waited in the process, or the request had.

No cause is claimed.

--- a/entry/src/main/java/io/hornbeamfield/entry/Blackboard.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/Blackboard.java
@@ -26,6 +26,7 @@
     private static final int ASSUMED_INSTANCES = 8;
 
     private volatile @Nullable RouteConfig config;
+    private volatile long configConfirmedMs;
     private volatile @Nullable Map<String, List<BackendServer>> serversByService;
     private volatile Map<String, List<BackendServer>> usableByService = Map.of();
     private volatile Map<String, Long> evacuatedSinceMs = Map.of();
@@ -107,6 +108,16 @@
         config = next;
     }
 
+    /** Returns when the store last answered about configurations, by the clock of this process; 0 if it has not. */
+    public long configConfirmedMs() {
+        return configConfirmedMs;
+    }
+
+    /** Records that the store has answered about configurations. */
+    public void configConfirmed(long nowMs) {
+        configConfirmedMs = nowMs;
+    }
+
     /** Returns the servers of a service that accept new requests and are outside the evacuated zones. */
     public List<BackendServer> servers(String service) {
         return usableByService.getOrDefault(service, List.of());
--- a/entry/src/main/java/io/hornbeamfield/entry/control/ConfigController.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/ConfigController.java
@@ -10,14 +10,17 @@
 import io.hornbeamfield.platform.StoreList;
 import io.hornbeamfield.platform.StoreObject;
 import io.hornbeamfield.platform.WatchResult;
+import java.time.Clock;
 
 /** Adopts each newer configuration; a version that is not newer than the active one is ignored. */
 final class ConfigController implements StoreWatcher.Listener {
+    private final Clock clock;
     private final Blackboard blackboard;
     private final PrepaidHoldings book;
     private final EventLog log;
     private final Runnable onAdopted;
     private final boolean regionsDeclared;
+    private long answerGapMs;
 
     /**
      * Creates a controller.
@@ -26,7 +29,13 @@
      *     no effect
      */
     ConfigController(
-            Blackboard blackboard, PrepaidHoldings book, EventLog log, Runnable onAdopted, boolean regionsDeclared) {
+            Clock clock,
+            Blackboard blackboard,
+            PrepaidHoldings book,
+            EventLog log,
+            Runnable onAdopted,
+            boolean regionsDeclared) {
+        this.clock = clock;
         this.blackboard = blackboard;
         this.regionsDeclared = regionsDeclared;
         this.book = book;
@@ -36,17 +45,17 @@
 
     @Override
     public void onList(StoreList list) {
-        list.objects().forEach(this::adoptIfNewer);
+        list.objects().forEach(o -> adoptIfNewer(o, "list"));
     }
 
     @Override
     public void onChange(WatchResult.Change change) {
         if (!change.removed()) {
-            adoptIfNewer(change.object());
+            adoptIfNewer(change.object(), "watch");
         }
     }
 
-    private void adoptIfNewer(StoreObject object) {
+    private void adoptIfNewer(StoreObject object, String source) {
         if (!object.name().equals(StoreClient.CURRENT_CONFIGURATION)) {
             return;
         }
@@ -67,6 +76,8 @@
             log.event("config-adopted")
                     .field("version", next.version())
                     .field("revision", object.revision())
+                    .field("by", source)
+                    .field("sinceLastAnswerMs", answerGapMs)
                     .write();
             ColdPhaseDecoder.problems(object.content())
                     .forEach(p -> log.event("config-field-invalid")
@@ -90,6 +101,10 @@
 
     @Override
     public void onStoreRecovered() {
-        // The next list or watch result contains the missed changes.
+        // Called for each answer, before its content is handled.
+        long now = clock.millis();
+        long lastMs = blackboard.configConfirmedMs();
+        answerGapMs = lastMs == 0 ? 0 : now - lastMs;
+        blackboard.configConfirmed(now);
     }
 }
--- a/entry/src/main/java/io/hornbeamfield/entry/control/ControlPlane.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/ControlPlane.java
@@ -9,6 +9,7 @@
 import io.hornbeamfield.core.quarantine.PartActivity;
 import io.hornbeamfield.entry.Blackboard;
 import io.hornbeamfield.entry.Blackboard.Member;
+import io.hornbeamfield.entry.DelayLog;
 import io.hornbeamfield.entry.EntrySettings;
 import io.hornbeamfield.entry.EventLog;
 import io.hornbeamfield.entry.LoadSharing;
@@ -47,6 +48,7 @@
     private final Optional<StoreWatcher> evacuations;
     private final BackendController backends;
     private final MembershipController members;
+    private final DelayLog delays;
     private final PeerTransfers peers;
     private final CrashController crashes;
 
@@ -83,6 +85,7 @@
             StoreCalls storeCalls,
             LoadSharing sharing) {
         this.executor = executor;
+        delays = new DelayLog(clock, log, "control");
         StoreClient store = storeClient(settings, http, storeCalls);
         prepaid = new PrepaidController(
                 store, clock, executor, book, log, isEarlierIncarnation(settings, book), tokenListener);
@@ -96,7 +99,7 @@
                 StoreClient.CONFIGURATION_KIND,
                 executor,
                 log,
-                configController(settings, blackboard, book, log),
+                configController(settings, clock, blackboard, book, log),
                 new WatchPacing(timing, WatchPacing.Changes.SINGLE, largeFleet, ControlPlane::random),
                 probe,
                 // Each event has a whole configuration.
@@ -138,9 +141,10 @@
     }
 
     private ConfigController configController(
-            EntrySettings settings, Blackboard blackboard, PrepaidHoldings book, EventLog log) {
+            EntrySettings settings, Clock clock, Blackboard blackboard, PrepaidHoldings book, EventLog log) {
         boolean regionsDeclared = settings.zoneRegions().declared();
-        return new ConfigController(blackboard, book, log, () -> prepaid().tick(), regionsDeclared);
+        return new ConfigController(
+                clock, blackboard, book, log, () -> prepaid().tick(), regionsDeclared);
     }
 
     private static StoreClient storeClient(EntrySettings settings, HttpClient http, StoreCalls calls) {
@@ -227,7 +231,10 @@
             crashes.start();
             members.register();
         });
-        every(TICK_MS, "Maintaining the servers", backends::tick);
+        every(TICK_MS, "Maintaining the servers", () -> {
+            delays.check(TICK_MS);
+            backends.tick();
+        });
         every(TICK_MS, "Maintaining the witnesses", peers.witnesses()::tick);
         every(TICK_MS, "Maintaining the prepaid tokens", prepaid::tick);
         executor.schedule(members::refresh, FIRST_MEMBER_REFRESH_MS, TimeUnit.MILLISECONDS);
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/RelayHandler.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/RelayHandler.java
@@ -145,9 +145,15 @@
                 .field(
                         "config",
                         context.blackboard().config().map(RouteConfig::version).orElse(-1L))
+                .field("configConfirmedMs", msSinceConfirmation())
                 .field("unreadMs", request.ageMs())
                 .field("outcome", outcome)
                 .field("status", status)
                 .write();
     }
+
+    private long msSinceConfirmation() {
+        long confirmedMs = context.blackboard().configConfirmedMs();
+        return confirmedMs == 0 ? -1 : context.clock().millis() - confirmedMs;
+    }
 }
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/Traffic.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/Traffic.java
@@ -6,6 +6,7 @@
 import io.hornbeamfield.core.route.CallerLimits;
 import io.hornbeamfield.core.route.RouteConfig;
 import io.hornbeamfield.entry.Blackboard;
+import io.hornbeamfield.entry.DelayLog;
 import io.hornbeamfield.entry.EntrySettings;
 import io.hornbeamfield.entry.EventLog;
 import io.hornbeamfield.entry.Timers;
@@ -96,7 +97,9 @@
                         .map(Traffic::inbound)
                         .orElse(InboundLimits.DEFAULT),
                 handler);
+        DelayLog delays = new DelayLog(clock, log, "requests");
         timers.every(ServerConnectionPools.TICK_MS, () -> {
+            delays.check(ServerConnectionPools.TICK_MS);
             pools.tick();
             engines.tick();
             transport.sweep();
