Reject responses with a status outside 100 to 599

Callers of the entry daemon, the router and the client library got answers with a status from 600 on; at the entry daemon a status below 100 was waited for until the deadline. Another operator reports a delivered status 000.

The parser takes any number for a status, and the code took those below 200 for interim heads and all others for final ones. A response with any other status is broken now, so that its request is repeated or ends with 502 or "outcome unknown" at once.

--- a/client/src/test/java/io/hornbeamfield/client/RouterAnswerEndTest.java
+++ b/client/src/test/java/io/hornbeamfield/client/RouterAnswerEndTest.java
@@ -24,6 +24,7 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against an answer of a router that was cut and is reported as complete, as not run, or twice in part. */
 final class RouterAnswerEndTest {
@@ -260,4 +261,19 @@
         assertThat(order("order", new Scenario(cut, Framing.LENGTH, end, 1, 3)).join())
                 .isInstanceOf(Outcome.OutcomeUnknown.class);
     }
+
+    /** Guards against a response that is no HTTP and is reported as the answer of a service. */
+    @ParameterizedTest
+    @ValueSource(strings = {"000", "099", "600", "999"})
+    void anAnswerWithAnInvalidStatusIsAskedForAgainWithTheSameKey(String status) {
+        AnswerCut invalid =
+                new AnswerCut("status " + status, wire -> wire.replace(" 200 OK", " " + status + " X"), false);
+        Outcome outcome = order("order", new Scenario(invalid, Framing.LENGTH, End.CLOSED, 1, 1))
+                .join();
+        assertThat(outcome).isInstanceOfSatisfying(Outcome.Answered.class, a -> {
+            assertThat(a.status()).isEqualTo(200);
+            assertThat(a.text()).isEqualTo(PAID);
+        });
+        assertThat(Set.copyOf(scenarios.get("order").keys)).hasSize(1);
+    }
 }
--- a/net/src/main/java/io/hornbeamfield/net/http/internal/Exchange.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/Exchange.java
@@ -89,6 +89,10 @@
     }
 
     void head(int status, Map<String, String> headers, BodyFraming bodyFraming) {
+        if (!ResponseStatus.isValid(status)) {
+            fail(new CallFailure(CallFailure.Kind.BROKEN, "The response has status " + status + "."));
+            return;
+        }
         if (bodyFraming == BodyFraming.UNCERTAIN) {
             fail(new CallFailure(
                     CallFailure.Kind.BROKEN, "The response has several lengths or an encoding other than chunks."));
--- a/net/src/main/java/io/hornbeamfield/net/http/internal/ResponseFilter.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/ResponseFilter.java
@@ -12,15 +12,13 @@
 
 /** Passes response heads and body parts to the exchange of their connection. */
 final class ResponseFilter extends BaseFilter {
-    private static final int FIRST_FINAL_STATUS = 200;
-
     @Override
     public NextAction handleRead(FilterChainContext ctx) {
         HttpContent content = ctx.getMessage();
         Exchange exchange = Exchange.CURRENT.get(ctx.getConnection());
         if (exchange != null) {
             HttpResponsePacket head = (HttpResponsePacket) content.getHttpHeader();
-            if (head.getStatus() < FIRST_FINAL_STATUS) {
+            if (ResponseStatus.isInterim(head.getStatus())) {
                 exchange.interimHead();
                 content.recycle();
                 return ctx.getStopAction();
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/ConnectionInput.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/ConnectionInput.java
@@ -1,6 +1,7 @@
 package io.hornbeamfield.net.relay.internal;
 
 import io.hornbeamfield.core.attempt.ReadSize;
+import io.hornbeamfield.net.http.internal.ResponseStatus;
 import java.util.function.Supplier;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
@@ -97,7 +98,6 @@
     }
 
     private static boolean isInterim(HttpHeader head) {
-        return head instanceof HttpResponsePacket response
-                && response.getStatus() < OutboundExchange.FIRST_FINAL_STATUS;
+        return head instanceof HttpResponsePacket response && ResponseStatus.isInterim(response.getStatus());
     }
 }
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/OutboundExchange.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/OutboundExchange.java
@@ -1,5 +1,6 @@
 package io.hornbeamfield.net.relay.internal;
 
+import io.hornbeamfield.net.http.internal.ResponseStatus;
 import io.hornbeamfield.net.relay.Header;
 import io.hornbeamfield.net.relay.OutboundListener;
 import io.hornbeamfield.net.relay.Serial;
@@ -17,8 +18,6 @@
     static final Attribute<OutboundExchange> CURRENT =
             Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("hornbeamfield-outbound");
 
-    static final int FIRST_FINAL_STATUS = 200;
-
     /** A server that sends more heads before that of its response sends no response. */
     private static final int MAX_INTERIM_HEADS = 16;
 
@@ -50,7 +49,11 @@
         if (done) {
             return;
         }
-        if (head.getStatus() < FIRST_FINAL_STATUS) {
+        if (!ResponseStatus.isValid(head.getStatus())) {
+            fail("the response has status " + head.getStatus());
+            return;
+        }
+        if (ResponseStatus.isInterim(head.getStatus())) {
             if (++interimHeads > MAX_INTERIM_HEADS) {
                 failExcessive("the server sent " + interimHeads + " interim heads");
             }
--- a/net/src/test/java/io/hornbeamfield/net/http/ResponseEndTest.java
+++ b/net/src/test/java/io/hornbeamfield/net/http/ResponseEndTest.java
@@ -257,4 +257,12 @@
         response = OK + "~";
         assertBroken(call().bodyMayEndWithConnection());
     }
+
+    /** Guards against a response that is no HTTP and reaches its caller as an answer. */
+    @ParameterizedTest
+    @ValueSource(strings = {"000", "001", "099", "600", "700", "999", "1000", "20", "-200", "2x0"})
+    void aResponseWithAnInvalidStatusIsBroken(String status) {
+        response = "HTTP/1.1 " + status + " Trouble~Content-Length: 10~~0123456789";
+        assertBroken(call());
+    }
 }
--- a/router/src/test/java/io/hornbeamfield/router/traffic/ServiceAnswerEndTest.java
+++ b/router/src/test/java/io/hornbeamfield/router/traffic/ServiceAnswerEndTest.java
@@ -188,4 +188,17 @@
                 .contains("\"code\":4001", "\"ran\":\"unknown\"")
                 .doesNotContain("fee 7");
     }
+
+    /** Guards against a response that is no HTTP and reaches the caller as an answer of the service. */
+    @ParameterizedTest
+    @ValueSource(strings = {"000", "099", "600", "999"})
+    void anAnswerWithAnInvalidStatusIsNotDelivered(String status) {
+        cutAnswers.put(
+                "firstorder",
+                RawResponse.ended("HTTP/1.1 " + status + " Trouble\r\nContent-Length: 13\r\n\r\n" + WHOLE, End.CLOSED));
+        HttpReply reply = send("firstorder", "/orders", End.CLOSED).join();
+        assertThat(reply.text())
+                .contains("\"code\":4001", "\"ran\":\"unknown\"")
+                .doesNotContain("fee 7");
+    }
 }
