Deliver no part of an answer that ends during the upload

A server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. Callers of the entry daemon got the part as a complete answer, on all kinds of routes; the HTTP client of the router did the same.

A reset is reported once. If a write gets the error, the read that follows finds an end of stream like that of an orderly close. An answer without a length whose connection ends before the whole request has been written is broken now.

--- a/net/src/main/java/io/hornbeamfield/net/http/internal/Exchange.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/Exchange.java
@@ -10,8 +10,10 @@
 import org.glassfish.grizzly.CloseListener;
 import org.glassfish.grizzly.Closeable;
 import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.Grizzly;
 import org.glassfish.grizzly.ICloseType;
+import org.glassfish.grizzly.WriteResult;
 import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpRequestPacket;
@@ -33,6 +35,7 @@
     private boolean headArrived;
     private long receivedBytes;
     private boolean endsWithConnection;
+    private volatile boolean requestWritten;
     private boolean done;
 
     Exchange(HttpCall call, StreamListener listener, ConnectionCache connections) {
@@ -65,7 +68,16 @@
         }
         CURRENT.set(c, this);
         c.addCloseListener(this);
-        c.write(requestContent());
+        write(c, requestContent());
+    }
+
+    private <A> void write(Connection<A> c, HttpContent content) {
+        c.write(content, new EmptyCompletionHandler<WriteResult<HttpContent, A>>() {
+            @Override
+            public void completed(WriteResult<HttpContent, A> result) {
+                requestWritten = true;
+            }
+        });
     }
 
     private HttpContent requestContent() {
@@ -205,11 +217,15 @@
                 "The connection to " + call.uri().getAuthority() + " closed before the response was complete."));
     }
 
-    /** A connection that is reset, or fails in another way, may have lost a part of the body. */
+    /**
+     * A connection that is reset, or fails in another way, may have lost a part of the body. While the request is being
+     * written, the failed write may get the error of a reset, and the read that follows it an orderly end.
+     */
     private synchronized boolean isCompleteAtClose() {
         Connection<?> c = connection;
         return endsWithConnection
                 && receivedBytes > 0
+                && requestWritten
                 && c != null
                 && c.getCloseReason().getCause() instanceof EOFException;
     }
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/OutboundExchange.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/OutboundExchange.java
@@ -100,7 +100,8 @@
                 return;
             }
             finish();
-            if (headReceived && delimitedByClose && end == ConnectionEnd.ORDERLY) {
+            // After a reset the failed write may get the error, and the read that follows it an orderly end.
+            if (headReceived && delimitedByClose && end == ConnectionEnd.ORDERLY && requestWritten) {
                 listener.onEnd(false);
             } else {
                 listener.onBroken(
--- a/net/src/test/java/io/hornbeamfield/net/http/ResponseEndTest.java
+++ b/net/src/test/java/io/hornbeamfield/net/http/ResponseEndTest.java
@@ -27,10 +27,14 @@
     /** Time for the bytes to arrive, since a reset discards those that the client has not read yet. */
     private static final int RESET_DELAY_MS = 30;
 
+    /** More than the buffers of both sockets take. */
+    private static final int UPLOAD_BYTES = 32 * 1024 * 1024;
+
     private final HttpClient client = HttpClient.create("test");
     private ServerSocket server;
     private volatile String response = "";
     private volatile boolean resets;
+    private volatile boolean halfCloses;
     private volatile boolean sendsSingleBytes;
 
     @BeforeEach
@@ -57,6 +61,10 @@
                 connection.getOutputStream().write(bytes, i, partBytes);
                 Thread.sleep(sendsSingleBytes ? 1 : 0);
             }
+            if (halfCloses) {
+                connection.shutdownOutput();
+                Thread.sleep(RESET_DELAY_MS);
+            }
             if (resets) {
                 Thread.sleep(RESET_DELAY_MS);
                 connection.setSoLinger(true, 0);
@@ -258,6 +266,21 @@
         assertBroken(call().bodyMayEndWithConnection());
     }
 
+    /**
+     * Guards against a part of a body that counts as whole because the write of the upload gets the error of the reset,
+     * so that reading finds an orderly end.
+     */
+    @Test
+    void aBodyThatEndsWhileTheRequestIsBeingWrittenIsBroken() {
+        response = OK + "~0123456789";
+        halfCloses = true;
+        resets = true;
+        assertBroken(HttpCall.of("POST", "http://127.0.0.1:" + server.getLocalPort() + "/")
+                .timeout(Duration.ofSeconds(5))
+                .body(new byte[UPLOAD_BYTES])
+                .bodyMayEndWithConnection());
+    }
+
     /** Guards against a response that is no HTTP and reaches its caller as an answer. */
     @ParameterizedTest
     @ValueSource(strings = {"000", "001", "099", "600", "700", "999", "1000", "20", "-200", "2x0"})
