Ignore offers of another protocol in requests

Requests with Connection: Upgrade and Upgrade: h2c, as the JDK's HTTP client sends them by default, were never answered, on the addresses for callers, readiness and lookups.

Grizzly's codec leaves the content of such a request to a handler of the other protocol, so that it never became complete. The codec of the entry daemon ignores the offer now.

--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/RequestCodecFilter.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/RequestCodecFilter.java
@@ -12,8 +12,9 @@
 import org.glassfish.grizzly.http.util.MimeHeaders;
 
 /**
- * Marks requests that have both a Content-Length and a chunked body. Grizzly removes the Content-Length of such a
- * request while it parses the headers, so that a later filter cannot see it.
+ * Marks requests that have both a Content-Length and a chunked body: Grizzly removes the Content-Length of such a
+ * request while it parses the headers, so that a later filter cannot see it. Ignores offers of another protocol, as RFC
+ * 9110, section 7.8, allows.
  */
 final class RequestCodecFilter extends HttpServerFilter {
     private static final Attribute<Boolean> HAD_LENGTH_AND_CHUNKS =
@@ -51,7 +52,7 @@
     protected boolean parseHeadersFromBytes(
             HttpHeader head, MimeHeaders headers, HeaderParsingState state, byte[] input, int end) {
         boolean complete = super.parseHeadersFromBytes(head, headers, state, input, end);
-        markIfLengthAndChunks(head, state);
+        adjust(head, state, complete);
         return complete;
     }
 
@@ -59,10 +60,18 @@
     protected boolean parseHeadersFromBuffer(
             HttpHeader head, MimeHeaders headers, HeaderParsingState state, Buffer input) {
         boolean complete = super.parseHeadersFromBuffer(head, headers, state, input);
-        markIfLengthAndChunks(head, state);
+        adjust(head, state, complete);
         return complete;
     }
 
+    private static void adjust(HttpHeader head, HeaderParsingState state, boolean complete) {
+        markIfLengthAndChunks(head, state);
+        if (complete) {
+            // Otherwise Grizzly would not decode the body of a request that offers another protocol.
+            head.getUpgradeDC().recycle();
+        }
+    }
+
     private static void markIfLengthAndChunks(HttpHeader head, HeaderParsingState state) {
         if (head.isChunked() && state.contentLengthHeadersCount > 0) {
             HAD_LENGTH_AND_CHUNKS.set(head, true);
