--- a/entry/src/test/java/io/hornbeamfield/entry/DelayLogTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/LateConfigurationLogTest.java
@@ -9,7 +9,7 @@
 import org.junit.jupiter.api.Test;
 
 /** Shows that the log tells a configuration that arrived late from one that was handled late. */
-final class DelayLogTest {
+final class LateConfigurationLogTest {
     private static final long INTERVAL_MS = 250;
 
     private final ManualClock clock = ManualClock.atEpochSecond(1_000);
--- a/net/src/main/java/io/hornbeamfield/net/http/internal/ResponseStatus.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/ResponseStatus.java
@@ -1,6 +1,6 @@
 package io.hornbeamfield.net.http.internal;
 
-/** Classes of status codes; the parser accepts any number of three digits and more. */
+/** Classes of status codes; the parser accepts any number. */
 public final class ResponseStatus {
     private static final int FIRST = 100;
     private static final int FIRST_FINAL = 200;
