Count a full link as load, so that callers are sent elsewhere

Callers saw: one instance of 70 that its callers filled got no answer of the store on the configuration for 8.5 s, and refused 180 to 220 requests a second as its servers seemed unreachable. Cause: the load that address answers and the closing of connections go by was processor time and open requests only. An instance whose link is full looks idle, as refusals cost little of both, stays in every answer, and its callers send the whole of each refused request again. Class: an overload that feeds itself, measured by a resource that is not the scarce one. Change: LinkUse, from the bytes that the transports of requests and of the store's calls count; log lines link-full and link-relieved, metrics link.*.

--- a/entry/src/main/java/io/hornbeamfield/entry/EntryProcess.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/EntryProcess.java
@@ -12,6 +12,7 @@
 import io.hornbeamfield.net.http.HttpClient;
 import io.hornbeamfield.net.json.Json;
 import io.hornbeamfield.net.metrics.Metrics;
+import io.hornbeamfield.net.metrics.TransferredBytes;
 import io.hornbeamfield.net.relay.Header;
 import io.hornbeamfield.net.relay.InboundLimits;
 import io.hornbeamfield.net.relay.InboundRequest;
@@ -84,8 +85,10 @@
         this.log = log;
         executor = executor("control");
         trafficExecutor = executor("traffic-timers");
-        http = HttpClient.create("control");
-        transport = RelayTransport.start("traffic", serial);
+        TransferredBytes controlBytes = new TransferredBytes();
+        TransferredBytes requestBytes = new TransferredBytes();
+        http = HttpClient.create("control", controlBytes);
+        transport = RelayTransport.start("traffic", serial, requestBytes);
         book = new PrepaidHoldings(
                 clock,
                 settings.instance() + "/" + UUID.randomUUID(),
@@ -94,7 +97,7 @@
                 blackboard::hasInstancesWithoutHoldings);
         timers = new Timers(trafficExecutor, serial);
         TrafficNotifier notifier = new TrafficNotifier();
-        sharing = new LoadSharing(settings, clock, blackboard, metrics, log);
+        sharing = new LoadSharing(settings, clock, blackboard, requestBytes, controlBytes, metrics, log);
         control = new ControlPlane(
                 settings,
                 clock,
--- a/entry/src/main/java/io/hornbeamfield/entry/LoadSharing.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/LoadSharing.java
@@ -4,9 +4,11 @@
 import io.hornbeamfield.core.discovery.AddressSelection;
 import io.hornbeamfield.core.discovery.CallerShedding;
 import io.hornbeamfield.core.discovery.InstanceLoads;
+import io.hornbeamfield.core.discovery.LinkUse;
 import io.hornbeamfield.core.discovery.LoadEstimate;
 import io.hornbeamfield.entry.Blackboard.Member;
 import io.hornbeamfield.net.metrics.Metrics;
+import io.hornbeamfield.net.metrics.TransferredBytes;
 import java.lang.management.ManagementFactory;
 import java.time.Clock;
 import java.util.List;
@@ -29,23 +31,46 @@
     private final Metrics metrics;
     private final double processorShare;
     private final LoadEstimate estimate;
+    private final LinkUse link;
+    private final TransferredBytes requestBytes;
+    private final TransferredBytes controlBytes;
     private final InstanceLoads loads;
     private final AddressSelection selection;
     private final CallerShedding shedding;
     private List<Member> judged = List.of();
     private boolean active;
 
-    LoadSharing(EntrySettings settings, Clock clock, Blackboard blackboard, Metrics metrics, EventLog log) {
+    /**
+     * Creates the sharing of an instance.
+     *
+     * @param requestBytes counts what the connections to callers and servers transfer
+     * @param controlBytes counts what the connections to the store transfer
+     */
+    LoadSharing(
+            EntrySettings settings,
+            Clock clock,
+            Blackboard blackboard,
+            TransferredBytes requestBytes,
+            TransferredBytes controlBytes,
+            Metrics metrics,
+            EventLog log) {
         this.blackboard = blackboard;
         this.log = log;
+        this.requestBytes = requestBytes;
+        this.controlBytes = controlBytes;
         this.metrics = metrics;
         DeploymentSettings d = settings.deployment();
         processorShare = d.processorShare();
         estimate = new LoadEstimate(clock, processorShare, d.processingCapacity());
+        link = new LinkUse(clock, d.linkMbps());
         loads = new InstanceLoads(clock, settings.instance());
         selection = new AddressSelection(clock, new Random(), loads::load);
         shedding = new CallerShedding(clock, loads);
         metrics.gauge("callers.load", () -> loads.own().orElse(-1));
+        metrics.gauge("link.use", link::share);
+        metrics.gauge("link.requestBytesReceived", requestBytes::received);
+        metrics.gauge("link.requestBytesSent", requestBytes::sent);
+        metrics.gauge("link.controlBytesReceived", controlBytes::received);
         metrics.gauge("callers.loadsKnown", loads::known);
         metrics.gauge("callers.busyInstances", selection::busyInstances);
         metrics.gauge("callers.overflowShare", selection::maxOverflowShare);
@@ -97,8 +122,24 @@
 
     /** Measures the load of this instance. To be called every {@link #SAMPLE_MS}. */
     void sample(IntSupplier openRequests) {
+        double linkUse = sampleLink();
         if (processorShare > 0 && ManagementFactory.getOperatingSystemMXBean() instanceof OperatingSystemMXBean os) {
-            loads.own(estimate.update(os.getProcessCpuTime(), openRequests.getAsInt()));
+            loads.own(Math.max(linkUse, estimate.update(os.getProcessCpuTime(), openRequests.getAsInt())));
         }
     }
+
+    private double sampleLink() {
+        boolean before = link.isFull();
+        double use = link.update(
+                requestBytes.received() + controlBytes.received(), requestBytes.sent() + controlBytes.sent());
+        if (link.isFull() != before) {
+            log.event(before ? "link-relieved" : "link-full")
+                    .field("usePercent", Math.round(100 * use))
+                    .field("requestBytesReceived", requestBytes.received())
+                    .field("requestBytesSent", requestBytes.sent())
+                    .field("controlBytesReceived", controlBytes.received())
+                    .write();
+        }
+        return use;
+    }
 }
--- a/net/src/main/java/io/hornbeamfield/net/http/HttpClient.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/HttpClient.java
@@ -1,6 +1,7 @@
 package io.hornbeamfield.net.http;
 
 import io.hornbeamfield.net.http.internal.GrizzlyHttpClient;
+import io.hornbeamfield.net.metrics.TransferredBytes;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 
@@ -28,7 +29,12 @@
      * @param maxReplyBytes bytes of all replies that are buffered at the same time; beyond that the largest fail
      */
     static HttpClient create(String name, long maxReplyBytes) {
-        return GrizzlyHttpClient.start(name, maxReplyBytes);
+        return GrizzlyHttpClient.start(name, maxReplyBytes, new TransferredBytes());
+    }
+
+    /** Creates a client whose thread names start with the given name and that counts the bytes that it transfers. */
+    static HttpClient create(String name, TransferredBytes transferred) {
+        return GrizzlyHttpClient.start(name, Runtime.getRuntime().maxMemory() / REPLIES_PER_HEAP, transferred);
     }
 
     /** Sends a request and buffers the whole response. The future fails with a {@link CallFailure}. */
--- a/net/src/main/java/io/hornbeamfield/net/http/internal/GrizzlyHttpClient.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/GrizzlyHttpClient.java
@@ -5,6 +5,8 @@
 import io.hornbeamfield.net.http.HttpReply;
 import io.hornbeamfield.net.http.OpenStream;
 import io.hornbeamfield.net.http.StreamListener;
+import io.hornbeamfield.net.metrics.ConnectionByteCounter;
+import io.hornbeamfield.net.metrics.TransferredBytes;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.concurrent.CompletableFuture;
@@ -32,7 +34,7 @@
     }
 
     /** Starts a client that keeps at most the given number of bytes of all replies that it collects. */
-    public static HttpClient start(String name, long maxReplyBytes) {
+    public static HttpClient start(String name, long maxReplyBytes, TransferredBytes transferred) {
         TCPNIOTransport transport = TCPNIOTransportBuilder.newInstance()
                 .setName(name + "-http-client")
                 .setIOStrategy(SameThreadIOStrategy.getInstance())
@@ -40,10 +42,11 @@
                 .setTcpNoDelay(true)
                 .build();
         transport.setProcessor(FilterChainBuilder.stateless()
-                .add(new ReadFilter())
+                .add(new ReadFilter(transferred))
                 .add(new ResponseCodec())
                 .add(new ResponseFilter())
                 .build());
+        transport.getConnectionMonitoringConfig().addProbes(new ConnectionByteCounter(transferred));
         try {
             transport.start();
         } catch (IOException e) {
--- a/net/src/main/java/io/hornbeamfield/net/http/internal/ReadFilter.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/ReadFilter.java
@@ -1,5 +1,6 @@
 package io.hornbeamfield.net.http.internal;
 
+import io.hornbeamfield.net.metrics.TransferredBytes;
 import java.io.EOFException;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -17,9 +18,14 @@
 final class ReadFilter extends TransportFilter {
     private static final int READ_BUFFER_BYTES = 64 * 1024;
 
+    private final TransferredBytes transferred;
     private final ThreadLocal<ByteBuffer> buffers =
             ThreadLocal.withInitial(() -> ByteBuffer.allocateDirect(READ_BUFFER_BYTES));
 
+    ReadFilter(TransferredBytes transferred) {
+        this.transferred = transferred;
+    }
+
     @Override
     public NextAction handleRead(FilterChainContext ctx) {
         NIOConnection connection = (NIOConnection) ctx.getConnection();
@@ -37,6 +43,7 @@
             return ctx.getStopAction();
         }
         byte[] bytes = new byte[buffer.flip().remaining()];
+        transferred.addReceived(bytes.length);
         buffer.get(bytes);
         ctx.setMessage(Buffers.wrap(null, bytes));
         return ctx.getInvokeAction();
--- a/net/src/main/java/io/hornbeamfield/net/relay/RelayTransport.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/RelayTransport.java
@@ -1,5 +1,6 @@
 package io.hornbeamfield.net.relay;
 
+import io.hornbeamfield.net.metrics.TransferredBytes;
 import io.hornbeamfield.net.relay.internal.GrizzlyRelayTransport;
 import java.util.function.Supplier;
 
@@ -28,7 +29,13 @@
      *     that the largest of those that are not complete are ended, requests with status 503 after their heads
      */
     static RelayTransport start(String name, Serial serial, long maxInputBytes) {
-        return GrizzlyRelayTransport.start(name, serial, maxInputBytes);
+        return GrizzlyRelayTransport.start(name, serial, maxInputBytes, new TransferredBytes());
+    }
+
+    /** Starts a transport whose thread has the given name and that counts the bytes that it transfers. */
+    static RelayTransport start(String name, Serial serial, TransferredBytes transferred) {
+        return GrizzlyRelayTransport.start(
+                name, serial, Runtime.getRuntime().maxMemory() / INPUT_PER_HEAP, transferred);
     }
 
     /** Accepts connections at {@code ip:port}; port 0 selects a free port. Returns the bound port. */
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyRelayTransport.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyRelayTransport.java
@@ -4,6 +4,8 @@
 import io.hornbeamfield.core.attempt.BufferPool;
 import io.hornbeamfield.core.time.MonotonicClock;
 import io.hornbeamfield.net.http.internal.ResponseCodec;
+import io.hornbeamfield.net.metrics.ConnectionByteCounter;
+import io.hornbeamfield.net.metrics.TransferredBytes;
 import io.hornbeamfield.net.relay.ConnectListener;
 import io.hornbeamfield.net.relay.InboundHandler;
 import io.hornbeamfield.net.relay.InboundLimits;
@@ -42,6 +44,7 @@
     private final InputSelector selector;
     private final InboundConnections inbound = new InboundConnections();
     private final BufferPool input;
+    private final TransferredBytes transferred;
     private final List<Connection<?>> listening = new CopyOnWriteArrayList<>();
     private final FilterChain clientChain;
 
@@ -50,14 +53,16 @@
             Serial serial,
             ArrivalEstimate estimate,
             InputSelector selector,
-            long maxInputBytes) {
+            long maxInputBytes,
+            TransferredBytes transferred) {
         this.transport = transport;
         this.serial = serial;
         this.estimate = estimate;
         this.selector = selector;
         this.input = new BufferPool(maxInputBytes);
+        this.transferred = transferred;
         this.clientChain = FilterChainBuilder.stateless()
-                .add(new ReadFilter(serial, input, OutboundFilter::endExcessive))
+                .add(new ReadFilter(transferred, serial, input, OutboundFilter::endExcessive))
                 .add(new UnexpectedBytesFilter())
                 .add(new ResponseCodec(ConnectionInput.MAX_HEADER_BYTES))
                 .add(new OutboundFilter())
@@ -65,7 +70,7 @@
     }
 
     /** Starts a transport that keeps at most the given number of bytes of heads and requests. */
-    public static RelayTransport start(String name, Serial serial, long maxInputBytes) {
+    public static RelayTransport start(String name, Serial serial, long maxInputBytes, TransferredBytes transferred) {
         ArrivalEstimate estimate = new ArrivalEstimate(MonotonicClock.start());
         InputSelector selector = new InputSelector(estimate);
         TCPNIOTransport transport = TCPNIOTransportBuilder.newInstance()
@@ -77,12 +82,13 @@
                 .setReuseAddress(true)
                 .setServerConnectionBackLog(ACCEPT_BACKLOG)
                 .build();
+        transport.getConnectionMonitoringConfig().addProbes(new ConnectionByteCounter(transferred));
         try {
             transport.start();
         } catch (IOException e) {
             throw new UncheckedIOException("Cannot start the relay transport " + name + ".", e);
         }
-        return new GrizzlyRelayTransport(transport, serial, estimate, selector, maxInputBytes);
+        return new GrizzlyRelayTransport(transport, serial, estimate, selector, maxInputBytes, transferred);
     }
 
     @Override
@@ -92,7 +98,7 @@
         keepAlive.setMaxRequestsCount(-1);
         InputSelector.Listening socket = selector.add();
         FilterChain chain = FilterChainBuilder.stateless()
-                .add(new ReadFilter(serial, input, Connection::terminateSilently))
+                .add(new ReadFilter(transferred, serial, input, Connection::terminateSilently))
                 .add(new InboundConnectionFilter(inbound, limits, serial, estimate, socket.backlog()))
                 .add(new RequestCodecFilter(ConnectionInput.MAX_HEADER_BYTES, keepAlive))
                 .add(new InboundFilter(serial, handler, inbound, limits, input))
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/ReadFilter.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/ReadFilter.java
@@ -2,6 +2,7 @@
 
 import io.hornbeamfield.core.attempt.BufferPool;
 import io.hornbeamfield.core.attempt.ReadSize;
+import io.hornbeamfield.net.metrics.TransferredBytes;
 import io.hornbeamfield.net.relay.Serial;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -22,6 +23,7 @@
     /** Shared by all connections, since the transport reads them on a single thread. */
     private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(ReadSize.MAX_BYTES);
 
+    private final TransferredBytes transferred;
     private final Serial serial;
     private final BufferPool pool;
     private final Consumer<Connection<?>> onExcess;
@@ -29,10 +31,12 @@
     /**
      * Creates a filter.
      *
+     * @param transferred counts what is read
      * @param pool pool of the input that is kept until it can be handled, guarded by the serial
      * @param onExcess ends a connection that has sent too much without content, or of which too much is kept
      */
-    ReadFilter(Serial serial, BufferPool pool, Consumer<Connection<?>> onExcess) {
+    ReadFilter(TransferredBytes transferred, Serial serial, BufferPool pool, Consumer<Connection<?>> onExcess) {
+        this.transferred = transferred;
         this.serial = serial;
         this.pool = pool;
         this.onExcess = onExcess;
@@ -55,6 +59,7 @@
         if (read == 0) {
             return ctx.getStopAction();
         }
+        transferred.addReceived(read);
         if (!input.readReceived(read)) {
             onExcess.accept(connection);
             return ctx.getStopAction();
