Date a configuration by the start of the answer that confirms it

Callers saw: a final 404 by a configuration that had been superseded while its answer was arriving. Cause: an answer of the store confirmed the time at which the whole of it had arrived and been handled; on a full link that is seconds after its state. A watch without changes, on the other hand, waited as long as the adoption time and more, so that an unchanged configuration was confirmed too late. Class: freshness measured at the wrong moment. Change: HttpReply says how long its body took to arrive, StoreList and WatchResult carry it to the listeners, and the watch of configurations ends 250 ms before the adoption time at the latest. Measured: StoreWatcherTest (a list that arrives in 0.9 s confirms its beginning), WatchTimingTest, StaleRefusalTest, WatchReplayTest, StoreOutageCallsTest and LateConfigurationLogTest pass. Without the change the new case of StoreWatcherTest does not compile, as no age existed.

--- a/core/src/main/java/io/hornbeamfield/core/discovery/WatchTiming.java
+++ b/core/src/main/java/io/hornbeamfield/core/discovery/WatchTiming.java
@@ -15,6 +15,9 @@
 
     private static final long MIN_WATCH_WAIT_MS = 500;
 
+    /** A slow store responds within this time. */
+    private static final long SLOW_ANSWER_MS = 250;
+
     /** Batches bursts of changes, such as the registrations after a start, each of which would wake every instance. */
     private static final long CHANGE_DEBOUNCE_MS = 150;
 
@@ -35,6 +38,15 @@
         return Math.max(MIN_WATCH_WAIT_MS, contactMs - callTimeoutMs - RECONNECT_MS);
     }
 
+    /**
+     * Returns the timing of a watch whose answers, also those without a change, come within each adoption time, so that
+     * an instance knows whether its state may be out of date.
+     */
+    public WatchTiming confirming() {
+        long longestMs = adoptionMs - SLOW_ANSWER_MS + callTimeoutMs + RECONNECT_MS;
+        return new WatchTiming(Math.min(contactMs, longestMs), adoptionMs, callTimeoutMs);
+    }
+
     /** Returns the delay between a change and the next watch. */
     public long changeDebounceMs(boolean largeFleet) {
         return largeFleet
--- a/core/src/test/java/io/hornbeamfield/core/discovery/WatchTimingTest.java
+++ b/core/src/test/java/io/hornbeamfield/core/discovery/WatchTimingTest.java
@@ -20,6 +20,20 @@
         }
     }
 
+    /** Guards against refusals that are not final because an unchanged configuration is confirmed too seldom. */
+    @Test
+    void anIdleWatchConfirmsItsStateWithinTheAdoptionTimeAlsoIfTheStoreIsSlow() {
+        for (long contactMs : new long[] {3_000, 4_000, 5_000}) {
+            for (long adoptionMs : new long[] {2_000, 3_000, 4_000}) {
+                WatchTiming confirming = timing(contactMs, adoptionMs).confirming();
+                assertThat(confirming.watchWaitMs() + 250).isLessThanOrEqualTo(adoptionMs);
+                assertThat(confirming.watchWaitMs())
+                        .isLessThanOrEqualTo(timing(contactMs, adoptionMs).watchWaitMs());
+            }
+        }
+        assertThat(timing(3_000, 4_000).confirming()).isEqualTo(timing(3_000, 4_000));
+    }
+
     /** Regression (quabbin large): calls to the store cost more than anything else that 95 instances used. */
     @Test
     void aDeploymentThatAllowsMoreTimeNeedsFewerCalls() {
--- a/entry/src/main/java/io/hornbeamfield/entry/Blackboard.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/Blackboard.java
@@ -108,14 +108,14 @@
         config = next;
     }
 
-    /** Returns when the store last answered about configurations, by the clock of this process; 0 if it has not. */
+    /** Returns the time of which the store last confirmed the configuration, by this process's clock; 0 if never. */
     public long configConfirmedMs() {
         return configConfirmedMs;
     }
 
-    /** Records that the store has answered about configurations. */
-    public void configConfirmed(long nowMs) {
-        configConfirmedMs = nowMs;
+    /** Records that the store has confirmed that the configuration was the current one at a time. */
+    public void configConfirmed(long timeMs) {
+        configConfirmedMs = timeMs;
     }
 
     /** Returns the servers of a service that accept new requests and are outside the evacuated zones. */
--- a/entry/src/main/java/io/hornbeamfield/entry/control/BackendController.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/BackendController.java
@@ -119,7 +119,7 @@
     }
 
     @Override
-    public void onStoreRecovered() {
+    public void onStoreRecovered(long ageMs) {
         directory.storeReturned();
     }
 }
--- a/entry/src/main/java/io/hornbeamfield/entry/control/ConfigController.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/ConfigController.java
@@ -100,11 +100,11 @@
     }
 
     @Override
-    public void onStoreRecovered() {
-        // Called for each answer, before its content is handled.
-        long now = clock.millis();
+    public void onStoreRecovered(long ageMs) {
+        // What began to arrive earlier may have changed since, so it confirms no later state.
+        long confirmedMs = clock.millis() - ageMs;
         long lastMs = blackboard.configConfirmedMs();
-        answerGapMs = lastMs == 0 ? 0 : now - lastMs;
-        blackboard.configConfirmed(now);
+        answerGapMs = lastMs == 0 ? 0 : clock.millis() - lastMs;
+        blackboard.configConfirmed(confirmedMs);
     }
 }
--- a/entry/src/main/java/io/hornbeamfield/entry/control/ControlPlane.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/ControlPlane.java
@@ -100,7 +100,7 @@
                 executor,
                 log,
                 configController(settings, clock, blackboard, book, log),
-                new WatchPacing(timing, WatchPacing.Changes.SINGLE, largeFleet, ControlPlane::random),
+                new WatchPacing(timing.confirming(), WatchPacing.Changes.SINGLE, largeFleet, ControlPlane::random),
                 probe,
                 // Each event has a whole configuration.
                 StoreWatcher.CatchUp.LIST);
--- a/entry/src/main/java/io/hornbeamfield/entry/control/EvacuationController.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/EvacuationController.java
@@ -86,7 +86,7 @@
     }
 
     @Override
-    public void onStoreRecovered() {
+    public void onStoreRecovered(long ageMs) {
         // The next list or watch result contains the missed changes.
     }
 }
--- a/entry/src/main/java/io/hornbeamfield/entry/control/StoreWatcher.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/StoreWatcher.java
@@ -29,7 +29,12 @@
 
         void onStoreLost(String reason);
 
-        void onStoreRecovered();
+        /**
+         * The store has answered; called before the content of the answer is handled.
+         *
+         * @param ageMs time in milliseconds since the answer began to arrive
+         */
+        void onStoreRecovered(long ageMs);
     }
 
     private final StoreClient store;
@@ -73,7 +78,7 @@
             retry(failure, this::list);
             return;
         }
-        onSuccess();
+        onSuccess(list.ageMs());
         handle(() -> listener.onList(list));
         watch(list.revision());
     }
@@ -85,12 +90,12 @@
 
     private void onWatched(long revision, @Nullable WatchResult reply, @Nullable Throwable failure) {
         if (reply instanceof WatchResult.Changes c) {
-            onSuccess();
+            onSuccess(c.ageMs());
             c.changes().forEach(change -> handle(() -> listener.onChange(change)));
             long debounceMs = c.changes().isEmpty() ? 0 : pacing.changeDebounceMs();
             control.schedule(() -> watch(c.revision()), debounceMs, TimeUnit.MILLISECONDS);
         } else if (reply instanceof WatchResult.HistoryGone) {
-            onSuccess();
+            onSuccess(0);
             log.event("store-history-gone")
                     .field("kind", kind)
                     .field("revision", revision)
@@ -126,7 +131,7 @@
         control.schedule(action, next.delayMs(), TimeUnit.MILLISECONDS);
     }
 
-    private void onSuccess() {
+    private void onSuccess(long ageMs) {
         if (pacing.consecutiveFailures() > 0) {
             log.event("store-returned")
                     .field("kind", kind)
@@ -134,6 +139,6 @@
                     .write();
         }
         pacing.succeeded();
-        listener.onStoreRecovered();
+        listener.onStoreRecovered(ageMs);
     }
 }
--- a/entry/src/test/java/io/hornbeamfield/entry/control/StoreOutageCallsTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/control/StoreOutageCallsTest.java
@@ -66,7 +66,7 @@
         }
 
         @Override
-        public void onStoreRecovered() {
+        public void onStoreRecovered(long ageMs) {
             // The calls are counted.
         }
     }
--- a/entry/src/test/java/io/hornbeamfield/entry/control/StoreWatcherTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/control/StoreWatcherTest.java
@@ -43,6 +43,7 @@
     private final ScheduledExecutorService control = Executors.newSingleThreadScheduledExecutor();
     private final ExecutorService calls = Executors.newCachedThreadPool();
     private final BlockingQueue<Long> listed = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Long> ages = new LinkedBlockingQueue<>();
     private final AtomicLong revision = new AtomicLong();
     private final AtomicInteger lists = new AtomicInteger();
     private HttpServer server;
@@ -121,8 +122,8 @@
         }
 
         @Override
-        public void onStoreRecovered() {
-            // Expected after each list.
+        public void onStoreRecovered(long ageMs) {
+            ages.add(ageMs);
         }
     }
 
@@ -165,6 +166,15 @@
         assertThat(lists).hasValue(1);
     }
 
+    /** Guards against a final refusal by a configuration that was current when its answer began to arrive only. */
+    @Test
+    void aListThatArrivesSlowlyConfirmsTheTimeAtWhichItBeganToArrive() throws InterruptedException {
+        listIsSlow = true;
+        startWatcher();
+        long arrivalMs = (LIST_PARTS - 1) * PART_PAUSE_MS;
+        assertThat(ages.poll(10, TimeUnit.SECONDS)).isBetween(arrivalMs, arrivalMs + LIST_TIMEOUT.toMillis());
+    }
+
     @Test
     void aListThatStopsArrivingIsAskedForAgain() throws InterruptedException {
         listIsSlow = true;
--- a/net/src/main/java/io/hornbeamfield/net/http/HttpReply.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/HttpReply.java
@@ -3,8 +3,17 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 
-/** A complete HTTP response. Header names are in lower case. */
-public record HttpReply(int status, Map<String, String> headers, byte[] body) {
+/**
+ * A complete HTTP response. Header names are in lower case.
+ *
+ * @param bodyMs time in milliseconds from the arrival of the head to that of the whole body
+ */
+public record HttpReply(int status, Map<String, String> headers, byte[] body, long bodyMs) {
+
+    /** Creates a response whose body has arrived with its head. */
+    public HttpReply(int status, Map<String, String> headers, byte[] body) {
+        this(status, headers, body, 0);
+    }
 
     /** Returns the body as UTF-8 text. */
     public String text() {
--- a/net/src/main/java/io/hornbeamfield/net/http/internal/CollectingListener.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/CollectingListener.java
@@ -6,6 +6,7 @@
 import io.hornbeamfield.net.http.HttpReply;
 import io.hornbeamfield.net.http.StreamListener;
 import java.io.ByteArrayOutputStream;
+import java.time.Clock;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
@@ -19,20 +20,24 @@
     private final InputAllowance allowance = new InputAllowance(MAX_BYTES, PART_COST_BYTES);
     private final CompletableFuture<HttpReply> future;
     private final ReplyBuffers buffers;
+    private final Clock clock;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private volatile int collectedBytes;
     private volatile boolean released;
     private int status;
+    private long headMs;
     private Map<String, String> headers = Map.of();
 
-    CollectingListener(CompletableFuture<HttpReply> future, ReplyBuffers buffers) {
+    CollectingListener(CompletableFuture<HttpReply> future, ReplyBuffers buffers, Clock clock) {
         this.future = future;
         this.buffers = buffers;
+        this.clock = clock;
     }
 
     @Override
     public void onHead(int code, Map<String, String> fields) {
         status = code;
+        headMs = clock.millis();
         headers = fields;
     }
 
@@ -72,7 +77,7 @@
         if (released) {
             return;
         }
-        future.complete(new HttpReply(status, headers, body.toByteArray()));
+        future.complete(new HttpReply(status, headers, body.toByteArray(), clock.millis() - headMs));
     }
 
     @Override
--- a/net/src/main/java/io/hornbeamfield/net/http/internal/GrizzlyHttpClient.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/GrizzlyHttpClient.java
@@ -1,5 +1,6 @@
 package io.hornbeamfield.net.http.internal;
 
+import io.hornbeamfield.core.time.MonotonicClock;
 import io.hornbeamfield.net.http.HttpCall;
 import io.hornbeamfield.net.http.HttpClient;
 import io.hornbeamfield.net.http.HttpReply;
@@ -9,6 +10,7 @@
 import io.hornbeamfield.net.metrics.TransferredBytes;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.time.Clock;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.ScheduledExecutorService;
@@ -21,6 +23,7 @@
 
 /** HTTP client built on Grizzly's HTTP codec filters. */
 public final class GrizzlyHttpClient implements HttpClient {
+    private final Clock clock = MonotonicClock.start();
     private final TCPNIOTransport transport;
     private final ScheduledExecutorService timer;
     private final ConnectionCache connections;
@@ -65,7 +68,7 @@
     @Override
     public CompletableFuture<HttpReply> send(HttpCall call) {
         CompletableFuture<HttpReply> future = new CompletableFuture<>();
-        CollectingListener reply = new CollectingListener(future, buffers);
+        CollectingListener reply = new CollectingListener(future, buffers, clock);
         buffers.add(reply);
         Exchange exchange = startExchange(call, reply);
         ReplyTimeout timeout = ReplyTimeout.start(timer, call, exchange);
--- a/net/src/test/java/io/hornbeamfield/net/http/internal/CollectingListenerTest.java
+++ b/net/src/test/java/io/hornbeamfield/net/http/internal/CollectingListenerTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.hornbeamfield.core.time.MonotonicClock;
 import io.hornbeamfield.net.http.HttpReply;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -17,7 +18,7 @@
         List<Runnable> later = new ArrayList<>();
         ReplyBuffers buffers = new ReplyBuffers(10, later::add);
         CompletableFuture<HttpReply> future = new CompletableFuture<>();
-        CollectingListener reply = new CollectingListener(future, buffers);
+        CollectingListener reply = new CollectingListener(future, buffers, MonotonicClock.start());
         buffers.add(reply);
         reply.onHead(200, Map.of());
         reply.onData("0123456789ab".getBytes(StandardCharsets.US_ASCII));
