--- /dev/null
+++ b/core/src/main/java/io/hornbeamfield/core/stream/StreamId.java
@@ -0,0 +1,9 @@
+package io.hornbeamfield.core.stream;
+
+/**
+ * Identifies a stream by the attempt of its caller that brought its first event.
+ *
+ * @param workspace workspace of the caller, empty if callers need no key; another workspace's stream has another id
+ * @param attemptId id of the attempt, as the caller chose it
+ */
+public record StreamId(String workspace, String attemptId) {}
