Let a stream go on only at the version that began it

Cause: a server's version was no part of what an instance knew, and Resumes was passed on like any header. Class: a resumption that takes all members of a pool as interchangeable. A server begins resumable streams once the store has recorded its version; an instance remembers the streams that it began and tells two others; while several versions serve, the origins are in the store too; a take-up whose origin is not certain gets 503, code 3009.

--- a/core/src/main/java/io/hornbeamfield/core/discovery/BackendServer.java
+++ b/core/src/main/java/io/hornbeamfield/core/discovery/BackendServer.java
@@ -14,6 +14,7 @@
  * @param startedAtMs start of this incarnation in Unix milliseconds, 0 if unknown
  * @param coldLeftMs remaining time in milliseconds for which the server is cold, empty if it does not say; negative if
  *     it cannot be read
+ * @param version version of its software, empty if it does not name one
  */
 public record BackendServer(
         String id,
@@ -23,7 +24,21 @@
         int slots,
         boolean leaving,
         long startedAtMs,
-        OptionalLong coldLeftMs) {
+        OptionalLong coldLeftMs,
+        String version) {
+
+    /** Creates a server that does not name its version. */
+    public BackendServer(
+            String id,
+            String service,
+            String address,
+            String zone,
+            int slots,
+            boolean leaving,
+            long startedAtMs,
+            OptionalLong coldLeftMs) {
+        this(id, service, address, zone, slots, leaving, startedAtMs, coldLeftMs, "");
+    }
 
     /** Creates a server that does not say whether it is cold. */
     public BackendServer(
@@ -33,6 +48,9 @@
 
     /** Returns whether another registration is of the same incarnation of the same server. */
     public boolean sameIncarnation(BackendServer other) {
-        return id.equals(other.id) && address.equals(other.address) && startedAtMs == other.startedAtMs;
+        return id.equals(other.id)
+                && address.equals(other.address)
+                && startedAtMs == other.startedAtMs
+                && version.equals(other.version);
     }
 }
--- a/core/src/main/java/io/hornbeamfield/core/result/ResultCode.java
+++ b/core/src/main/java/io/hornbeamfield/core/result/ResultCode.java
@@ -39,6 +39,7 @@
     CONFIG_STALE(3006, 503, Ran.NO, "The router cannot confirm its configuration"),
     REGISTRY_FULL(3007, 503, Ran.NO, "The router cannot remember more requests"),
     PROMPT_QUARANTINED(3008, 503, Ran.NO, "Backend servers have crashed on a part of this prompt"),
+    STREAM_ORIGIN_UNKNOWN(3009, 503, Ran.NO, "It is not known which version began the stream"),
     OUTCOME_UNKNOWN(4001, 504, Ran.UNKNOWN, "It is not known whether the request ran"),
     KEY_EXPIRED(4002, 410, Ran.UNKNOWN, "The idempotency key has expired"),
     BACKEND_FAILED(4003, 502, Ran.UNKNOWN, "The backend server failed"),
--- a/core/src/main/java/io/hornbeamfield/core/stream/VersionRegistry.java
+++ b/core/src/main/java/io/hornbeamfield/core/stream/VersionRegistry.java
@@ -64,6 +64,13 @@
         return registered.stream().filter(v -> !recorded.contains(v)).collect(Collectors.toSet());
     }
 
+    /** Returns whether several versions of a service may have begun streams. */
+    public boolean hasSeveralVersions(String service) {
+        Set<ServiceVersion> all = new HashSet<>(recorded);
+        all.addAll(registered);
+        return all.stream().filter(v -> v.service().equals(service)).count() > 1;
+    }
+
     /** Returns the versions with which streams may begin. */
     public Set<ServiceVersion> recorded() {
         return Set.copyOf(recorded);
--- a/core/src/test/java/io/hornbeamfield/core/stream/OriginSearchTest.java
+++ b/core/src/test/java/io/hornbeamfield/core/stream/OriginSearchTest.java
@@ -151,6 +151,7 @@
                         applyAtY(e);
                     }
                 }
+                default -> throw new IllegalStateException("Unexpected event " + e + ".");
             }
         }
 
--- a/entry/src/main/java/io/hornbeamfield/entry/Blackboard.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/Blackboard.java
@@ -8,6 +8,7 @@
 import io.hornbeamfield.core.discovery.ZoneEvacuations;
 import io.hornbeamfield.core.quarantine.Quarantine;
 import io.hornbeamfield.core.route.RouteConfig;
+import io.hornbeamfield.core.stream.ServiceVersion;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -37,6 +38,7 @@
     private volatile Set<String> ledgerWriters = Set.of();
     private volatile Quarantine quarantine = Quarantine.none();
     private volatile boolean crashesKnown;
+    private volatile @Nullable Set<ServiceVersion> streamVersions;
     private volatile Supplier<ShutdownStage> shutdownStage = () -> ShutdownStage.RUNNING;
     private volatile BooleanSupplier callerShedding = () -> false;
 
@@ -51,6 +53,7 @@
      * @param processors number of processors available to the instance
      * @param processingCapacity processing capacity in standard cores; 0 if unknown, as for an older version
      * @param linkMbps bandwidth of its link; 0 if unknown
+     * @param remembersStreams whether it can be told and asked which versions began streams; false for an older version
      */
     @JsonIgnoreProperties(ignoreUnknown = true)
     public record Member(
@@ -61,7 +64,30 @@
             String peerAddress,
             int processors,
             @JsonInclude(JsonInclude.Include.NON_DEFAULT) double processingCapacity,
-            @JsonInclude(JsonInclude.Include.NON_DEFAULT) double linkMbps) {
+            @JsonInclude(JsonInclude.Include.NON_DEFAULT) double linkMbps,
+            @JsonInclude(JsonInclude.Include.NON_DEFAULT) boolean remembersStreams) {
+
+        /** Creates a member that remembers no streams. */
+        public Member(
+                String name,
+                String zone,
+                String callerAddress,
+                String readinessAddress,
+                String peerAddress,
+                int processors,
+                double processingCapacity,
+                double linkMbps) {
+            this(
+                    name,
+                    zone,
+                    callerAddress,
+                    readinessAddress,
+                    peerAddress,
+                    processors,
+                    processingCapacity,
+                    linkMbps,
+                    false);
+        }
 
         /** Creates a member whose capacity is unknown. */
         public Member(
@@ -89,7 +115,22 @@
                     peerAddress,
                     processors,
                     d.processingCapacity(),
-                    d.linkMbps());
+                    d.linkMbps(),
+                    remembersStreams);
+        }
+
+        /** Returns a copy that remembers streams. */
+        public Member rememberingStreams() {
+            return new Member(
+                    name,
+                    zone,
+                    callerAddress,
+                    readinessAddress,
+                    peerAddress,
+                    processors,
+                    processingCapacity,
+                    linkMbps,
+                    true);
         }
 
         /** Returns what the selection of addresses needs to know. */
@@ -108,6 +149,11 @@
         config = next;
     }
 
+    /** Returns whether callers authenticate with keys; true until a configuration has been read. */
+    public boolean keysRequired() {
+        return config().map(RouteConfig::keysRequired).orElse(true);
+    }
+
     /** Returns the time of which the store last confirmed the configuration, by this process's clock; 0 if never. */
     public long configConfirmedMs() {
         return configConfirmedMs;
@@ -242,6 +288,22 @@
         return quarantine;
     }
 
+    /** Sets the versions whose servers may begin streams that are resumed. */
+    public void streamVersions(Set<ServiceVersion> next) {
+        streamVersions = Set.copyOf(next);
+    }
+
+    /** Returns whether the versions whose servers may begin streams have been read. */
+    public boolean streamVersionsKnown() {
+        return streamVersions != null;
+    }
+
+    /** Returns whether a server may begin a stream that is resumed. */
+    public boolean mayBeginStream(BackendServer server) {
+        Set<ServiceVersion> known = streamVersions;
+        return known != null && known.contains(new ServiceVersion(server.service(), server.version()));
+    }
+
     /** Returns whether the crashes that other instances have seen have been read. */
     public boolean crashesKnown() {
         return crashesKnown;
@@ -284,6 +346,11 @@
 
     /** Returns whether this instance is ready to serve requests. */
     public boolean ready() {
-        return !stopping() && config != null && serversByService != null && crashesKnown && evacuationsKnown;
+        return !stopping()
+                && config != null
+                && serversByService != null
+                && crashesKnown
+                && streamVersions != null
+                && evacuationsKnown;
     }
 }
--- a/entry/src/main/java/io/hornbeamfield/entry/EntryProcess.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/EntryProcess.java
@@ -121,6 +121,7 @@
                 control::requestTokens,
                 partActivity,
                 control::serverCrashed,
+                control.streamOrigins(),
                 metrics,
                 log);
         metrics.gauge("log.dropped", log::dropped);
--- a/entry/src/main/java/io/hornbeamfield/entry/control/BackendController.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/BackendController.java
@@ -22,15 +22,22 @@
     private final BackendDirectory directory;
     private final Blackboard blackboard;
     private final EventLog log;
+    private final StreamVersionController streamVersions;
     private boolean confirmationInProgress;
 
     BackendController(
-            StoreClient store, ScheduledExecutorService control, Clock clock, Blackboard blackboard, EventLog log) {
+            StoreClient store,
+            ScheduledExecutorService control,
+            Clock clock,
+            Blackboard blackboard,
+            EventLog log,
+            StreamVersionController streamVersions) {
         this.store = store;
         this.control = control;
         this.directory = new BackendDirectory(clock);
         this.blackboard = blackboard;
         this.log = log;
+        this.streamVersions = streamVersions;
     }
 
     @Override
@@ -108,6 +115,7 @@
     }
 
     private void publish() {
+        streamVersions.registered(directory.all());
         blackboard.servers(directory.all().stream()
                 .filter(s -> !s.leaving())
                 .collect(Collectors.groupingBy(BackendServer::service)));
@@ -116,6 +124,7 @@
     @Override
     public void onStoreLost(String reason) {
         directory.storeLost();
+        streamVersions.storeLost();
     }
 
     @Override
--- a/entry/src/main/java/io/hornbeamfield/entry/control/ControlPlane.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/ControlPlane.java
@@ -7,6 +7,7 @@
 import io.hornbeamfield.core.discovery.WatchTiming;
 import io.hornbeamfield.core.prepaid.PrepaidHoldings;
 import io.hornbeamfield.core.quarantine.PartActivity;
+import io.hornbeamfield.core.stream.StreamRecords;
 import io.hornbeamfield.entry.Blackboard;
 import io.hornbeamfield.entry.Blackboard.Member;
 import io.hornbeamfield.entry.DelayLog;
@@ -14,6 +15,7 @@
 import io.hornbeamfield.entry.EventLog;
 import io.hornbeamfield.entry.LoadSharing;
 import io.hornbeamfield.entry.LoggedTask;
+import io.hornbeamfield.entry.traffic.StreamOrigins;
 import io.hornbeamfield.net.http.HttpClient;
 import io.hornbeamfield.platform.StoreCalls;
 import io.hornbeamfield.platform.StoreClient;
@@ -51,6 +53,8 @@
     private final DelayLog delays;
     private final PeerTransfers peers;
     private final CrashController crashes;
+    private final StreamVersionController streamVersions;
+    private final StreamOriginController origins;
 
     /** Receives events about the tokens that waiting requests need. */
     public interface TokenListener extends PrepaidController.TokenListener {}
@@ -89,11 +93,27 @@
         StoreClient store = storeClient(settings, http, storeCalls);
         prepaid = new PrepaidController(
                 store, clock, executor, book, log, isEarlierIncarnation(settings, book), tokenListener);
-        backends = new BackendController(store, executor, clock, blackboard, log);
         BooleanSupplier largeFleet = () -> CheckedInstances.isLargeFleet(blackboard.instanceCount() - 1);
         WatchTiming timing =
                 new WatchTiming(settings.storeContactMs(), settings.changeAdoptionMs(), STORE_TIMEOUT.toMillis());
         OutageProbe probe = probe(store, clock, executor);
+        Member self = self(settings);
+        peers = new PeerTransfers(
+                clock,
+                book,
+                executor,
+                blackboard,
+                log,
+                self,
+                settings.peerSecret(),
+                tokenListener::holdingsChanged,
+                prepaid::onWitnessReply);
+        prepaid.setPeers(peers);
+        streamVersions =
+                new StreamVersionController(store, executor, clock, blackboard, log, settings.instance(), largeFleet);
+        origins = streamOrigins(settings, store, clock, blackboard, log);
+        peers.setStreams(origins);
+        backends = new BackendController(store, executor, clock, blackboard, log, streamVersions);
         configs = new StoreWatcher(
                 store,
                 StoreClient.CONFIGURATION_KIND,
@@ -114,18 +134,6 @@
                 probe,
                 StoreWatcher.CatchUp.EVENTS);
         evacuations = evacuationWatcher(settings, store, clock, executor, blackboard, log, largeFleet, probe);
-        Member self = self(settings);
-        peers = new PeerTransfers(
-                clock,
-                book,
-                executor,
-                blackboard,
-                log,
-                self,
-                settings.peerSecret(),
-                tokenListener::holdingsChanged,
-                prepaid::onWitnessReply);
-        prepaid.setPeers(peers);
         crashes = new CrashController(
                 store,
                 executor,
@@ -140,6 +148,21 @@
                 store, http, executor, blackboard, log, self, peers, sharing.loads(), readiness(settings, clock));
     }
 
+    private StreamOriginController streamOrigins(
+            EntrySettings settings, StoreClient store, Clock clock, Blackboard blackboard, EventLog log) {
+        StreamRecords records = new StreamRecords(clock);
+        StoredOrigins stored = new StoredOrigins(
+                store,
+                executor,
+                clock,
+                blackboard,
+                log,
+                settings.instance(),
+                records,
+                streamVersions::hasSeveralVersions);
+        return new StreamOriginController(executor, blackboard, peers, streamVersions, records, stored);
+    }
+
     private ConfigController configController(
             EntrySettings settings, Clock clock, Blackboard blackboard, PrepaidHoldings book, EventLog log) {
         boolean regionsDeclared = settings.zoneRegions().declared();
@@ -161,7 +184,8 @@
                         settings.readinessAddress(),
                         settings.peerAddress(),
                         Runtime.getRuntime().availableProcessors())
-                .withCapacity(settings.deployment());
+                .withCapacity(settings.deployment())
+                .rememberingStreams();
     }
 
     /** Probes with the list of instances, whose size is bounded, so that an answer arrives also on a slow link. */
@@ -229,12 +253,17 @@
             servers.start();
             evacuations.ifPresent(StoreWatcher::start);
             crashes.start();
+            streamVersions.start();
             members.register();
         });
         every(TICK_MS, "Maintaining the servers", () -> {
             delays.check(TICK_MS);
             backends.tick();
         });
+        every(TICK_MS, "Maintaining the origins of streams", () -> {
+            streamVersions.tick();
+            origins.tick();
+        });
         every(TICK_MS, "Maintaining the witnesses", peers.witnesses()::tick);
         every(TICK_MS, "Maintaining the prepaid tokens", prepaid::tick);
         executor.schedule(members::refresh, FIRST_MEMBER_REFRESH_MS, TimeUnit.MILLISECONDS);
@@ -255,6 +284,11 @@
         return prepaid;
     }
 
+    /** Returns what is known of the versions that began streams. */
+    public StreamOrigins streamOrigins() {
+        return origins;
+    }
+
     /** Acquires tokens for the waiting requests of a workspace. May be called from any thread. */
     public void requestTokens(String workspace) {
         executor.execute(() -> prepaid.requestTokens(workspace));
--- a/entry/src/main/java/io/hornbeamfield/entry/control/PeerTransfers.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/PeerTransfers.java
@@ -51,6 +51,7 @@
     private final Runnable onReceived;
     private final PeerTransport transport;
     private final Witnesses witnesses;
+    private @Nullable StreamOriginController streams;
     private final Map<String, Long> heldByPeer = new HashMap<>();
     private final Map<String, Long> cooldownUntilMs = new HashMap<>();
     private final Map<String, TransferRound> rounds = new HashMap<>();
@@ -100,6 +101,16 @@
         return witnesses;
     }
 
+    /** Sets the receiver of messages about streams. To be called before the first one arrives. */
+    void setStreams(StreamOriginController receiver) {
+        streams = receiver;
+    }
+
+    /** Returns the links to the instances that write the ledger. */
+    List<PeerLink> linksToLedgerWriters() {
+        return transport.links().stream().filter(this::isLedgerWriter).toList();
+    }
+
     /** Returns the number of established links. */
     int linkCount() {
         return transport.links().size();
@@ -198,6 +209,12 @@
     @Override
     public void onClosed(PeerLink link) {
         log.event("peer-lost").field("peer", link.peer().incarnation()).write();
+        control.execute(() -> {
+            StreamOriginController receiver = streams;
+            if (receiver != null) {
+                receiver.linkClosed(link);
+            }
+        });
     }
 
     @Override
@@ -213,6 +230,11 @@
             witnesses.ensureLimit(request.budget(), tokens, () -> grant(link, request));
         } else if (message instanceof PeerMessage.TransferGrant grant) {
             onGrant(link, grant);
+        } else if (message instanceof PeerMessage.AboutStreams about) {
+            StreamOriginController receiver = streams;
+            if (receiver != null) {
+                receiver.handle(link, about);
+            }
         } else {
             witnesses.handle(link, message);
         }
--- /dev/null
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/StreamOriginController.java
@@ -0,0 +1,248 @@
+package io.hornbeamfield.entry.control;
+
+import io.hornbeamfield.core.routing.Rendezvous;
+import io.hornbeamfield.core.stream.OriginLookup;
+import io.hornbeamfield.core.stream.StreamId;
+import io.hornbeamfield.core.stream.StreamOrigin;
+import io.hornbeamfield.core.stream.StreamRecords;
+import io.hornbeamfield.core.stream.VersionRecord;
+import io.hornbeamfield.entry.Blackboard;
+import io.hornbeamfield.entry.Blackboard.Member;
+import io.hornbeamfield.entry.traffic.StreamOrigins;
+import io.hornbeamfield.net.peer.PeerLink;
+import io.hornbeamfield.net.peer.PeerMessage;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Tells other instances of the streams that this one has begun, and finds out for a stream that is taken up which
+ * version began it. Except for {@link StreamOrigins}, to be used on the control thread.
+ */
+final class StreamOriginController implements StreamOrigins {
+    /** A stream is told to this many other instances, so that it is known after the loss of one of them. */
+    private static final int TOLD_INSTANCES = 2;
+
+    /** A slow store responds within 250 ms. */
+    private static final long LOOKUP_TIMEOUT_MS = 400;
+
+    /** An instance that has just started needs this time to read the origins that the store keeps. */
+    private static final long START_LOOKUP_TIMEOUT_MS = 1_500;
+
+    /** Stands for the origins that the store keeps among the instances that a lookup asks. */
+    private static final String STORED = "store";
+
+    private final ScheduledExecutorService control;
+    private final Blackboard blackboard;
+    private final PeerTransfers peers;
+    private final StreamVersionController versions;
+    private final StreamRecords records;
+    private final StoredOrigins stored;
+    private final Queue<StreamId> untold = new ConcurrentLinkedQueue<>();
+    private final Map<String, Lookup> lookups = new HashMap<>();
+    private List<Lookup> awaitingRead = new ArrayList<>();
+    private long lastLookup;
+    private boolean reading;
+
+    private record Lookup(String id, String service, OriginLookup state, Consumer<OriginLookup.Result> onResult) {}
+
+    StreamOriginController(
+            ScheduledExecutorService control,
+            Blackboard blackboard,
+            PeerTransfers peers,
+            StreamVersionController versions,
+            StreamRecords records,
+            StoredOrigins stored) {
+        this.control = control;
+        this.blackboard = blackboard;
+        this.peers = peers;
+        this.versions = versions;
+        this.records = records;
+        this.stored = stored;
+    }
+
+    /** Tells other instances of new streams. Called a few times per second. */
+    void tick() {
+        tellOthers();
+        stored.tick();
+    }
+
+    @Override
+    public void begun(StreamId id, StreamOrigin origin) {
+        if (records.add(id, origin)) {
+            untold.add(id);
+        }
+    }
+
+    private void tellOthers() {
+        if (untold.isEmpty()) {
+            return;
+        }
+        List<PeerLink> links = links();
+        boolean keeps = stored.keepsOrigins();
+        Map<PeerLink, List<PeerMessage.BegunStream>> remembered = new HashMap<>();
+        Map<PeerLink, List<PeerMessage.BegunStream>> kept = new HashMap<>();
+        for (StreamId id = untold.poll(); id != null; id = untold.poll()) {
+            Optional<StreamOrigin> origin = records.find(id);
+            if (origin.isEmpty()) {
+                continue;
+            }
+            if (keeps) {
+                stored.add(id, origin.get());
+            }
+            List<PeerLink> targets = targets(links, id);
+            for (int i = 0; i < targets.size(); i++) {
+                Map<PeerLink, List<PeerMessage.BegunStream>> streams = keeps || i > 0 ? remembered : kept;
+                streams.computeIfAbsent(targets.get(i), l -> new ArrayList<>()).add(message(id, origin.get()));
+            }
+        }
+        remembered.forEach((link, list) -> link.send(new PeerMessage.StreamsBegun(list, false)));
+        kept.forEach((link, list) -> link.send(new PeerMessage.StreamsBegun(list, true)));
+    }
+
+    private static List<PeerLink> targets(List<PeerLink> links, StreamId id) {
+        return links.stream()
+                .sorted(Comparator.comparingLong((PeerLink l) ->
+                        -Rendezvous.weight(id.attemptId(), l.peer().instanceId())))
+                .limit(TOLD_INSTANCES)
+                .toList();
+    }
+
+    /** Returns the links to the instances that remember streams of others. */
+    private List<PeerLink> links() {
+        Set<String> remembering = blackboard.members().stream()
+                .filter(Member::remembersStreams)
+                .map(Member::name)
+                .collect(Collectors.toSet());
+        return peers.linksToLedgerWriters().stream()
+                .filter(l -> remembering.contains(l.peer().instanceId()))
+                .toList();
+    }
+
+    private static PeerMessage.BegunStream message(StreamId id, StreamOrigin origin) {
+        return new PeerMessage.BegunStream(id.workspace(), id.attemptId(), origin.service(), origin.version());
+    }
+
+    @Override
+    public Optional<OriginLookup.Result> remembered(StreamId id, String service) {
+        return records.find(id).map(o -> OriginLookup.of(o, service));
+    }
+
+    @Override
+    public void find(StreamId id, String service, Consumer<OriginLookup.Result> onResult) {
+        control.execute(() -> lookUp(id, service, onResult));
+    }
+
+    private void lookUp(StreamId id, String service, Consumer<OriginLookup.Result> onResult) {
+        String queryId = Long.toString(++lastLookup);
+        List<PeerLink> links = links();
+        Set<String> asked = links.stream().map(l -> l.peer().incarnation()).collect(Collectors.toSet());
+        asked.add(STORED);
+        Lookup lookup = new Lookup(queryId, service, new OriginLookup(service, asked), onResult);
+        lookups.put(queryId, lookup);
+        for (PeerLink l : links) {
+            if (!l.send(new PeerMessage.StreamQuery(queryId, id.workspace(), id.attemptId()))) {
+                lookup.state().instanceAnswered(l.peer().incarnation(), Optional.empty());
+            }
+        }
+        control.schedule(
+                () -> {
+                    lookup.state().timedOut();
+                    finishIfCertain(lookup);
+                },
+                stored.loaded() ? LOOKUP_TIMEOUT_MS : START_LOOKUP_TIMEOUT_MS,
+                TimeUnit.MILLISECONDS);
+        stored.whenLoaded(() -> {
+            lookup.state().instanceAnswered(STORED, records.find(id));
+            finishIfCertain(lookup);
+        });
+        awaitingRead.add(lookup);
+        readForLookups();
+    }
+
+    /** Reads the record for all lookups that wait, since a read that began before a request proves nothing about it. */
+    private void readForLookups() {
+        if (reading || awaitingRead.isEmpty()) {
+            return;
+        }
+        reading = true;
+        List<Lookup> served = awaitingRead;
+        awaitingRead = new ArrayList<>();
+        versions.read()
+                .whenCompleteAsync(
+                        (record, failure) -> {
+                            reading = false;
+                            served.forEach(l -> recordRead(l, record));
+                            readForLookups();
+                        },
+                        control);
+    }
+
+    private void recordRead(Lookup lookup, @Nullable VersionRecord record) {
+        if (record == null) {
+            lookup.state().recordUnread();
+        } else {
+            lookup.state().recordRead(record, versions.registeredVersions(lookup.service()));
+        }
+        finishIfCertain(lookup);
+    }
+
+    private void finishIfCertain(Lookup lookup) {
+        Optional<OriginLookup.Result> result = lookup.state().result();
+        if (result.isPresent() && lookups.remove(lookup.id(), lookup)) {
+            lookup.onResult().accept(result.get());
+        }
+    }
+
+    void handle(PeerLink link, PeerMessage.AboutStreams message) {
+        if (message instanceof PeerMessage.StreamsBegun begun) {
+            begun.streams().forEach(s -> remember(s, begun.keep()));
+        } else if (message instanceof PeerMessage.StreamQuery q) {
+            StreamId id = new StreamId(q.workspace(), q.attemptId());
+            stored.whenLoaded(() -> link.send(
+                    new PeerMessage.StreamReply(q.queryId(), records.find(id).map(o -> message(id, o)))));
+        } else if (message instanceof PeerMessage.StreamReply reply) {
+            Lookup lookup = lookups.get(reply.queryId());
+            if (lookup != null) {
+                lookup.state()
+                        .instanceAnswered(
+                                link.peer().incarnation(), reply.stream().map(StreamOriginController::origin));
+                finishIfCertain(lookup);
+            }
+        }
+    }
+
+    private void remember(PeerMessage.BegunStream stream, boolean keep) {
+        records.add(id(stream), origin(stream));
+        if (keep) {
+            stored.add(id(stream), origin(stream));
+        }
+    }
+
+    private static StreamId id(PeerMessage.BegunStream s) {
+        return new StreamId(s.workspace(), s.attemptId());
+    }
+
+    private static StreamOrigin origin(PeerMessage.BegunStream s) {
+        return new StreamOrigin(s.service(), s.version());
+    }
+
+    /** Ends the wait for the answers of an instance whose link has closed. */
+    void linkClosed(PeerLink link) {
+        List.copyOf(lookups.values()).forEach(l -> {
+            l.state().instanceAnswered(link.peer().incarnation(), Optional.empty());
+            finishIfCertain(l);
+        });
+    }
+}
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/Attempt.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/Attempt.java
@@ -113,6 +113,11 @@
         return sent;
     }
 
+    /** Returns the server as it was registered when the request was sent. */
+    BackendServer server() {
+        return server;
+    }
+
     /** Returns whether this instance did not try to reach the server, so that the server is not at fault. */
     boolean isWithheld() {
         return withheld;
@@ -180,7 +185,7 @@
         if (outbound.isEmpty()) {
             withheld = true;
             pool.release(c, 0);
-            end(AttemptOutcome.NOT_CONNECTED, "too little time is left");
+            end(AttemptOutcome.NOT_CONNECTED, "too little time is left, or the server is now of another version");
             return;
         }
         server = pool.server();
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/RelayHandler.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/RelayHandler.java
@@ -3,6 +3,7 @@
 import io.hornbeamfield.core.admission.ShutdownStage;
 import io.hornbeamfield.core.attempt.RequestTime;
 import io.hornbeamfield.core.result.ResultCode;
+import io.hornbeamfield.core.route.RetryPolicy;
 import io.hornbeamfield.core.route.Route;
 import io.hornbeamfield.core.route.RouteConfig;
 import io.hornbeamfield.core.route.WorkspaceAccess;
@@ -82,7 +83,7 @@
                 return;
             }
         }
-        Optional<String> unread = unreadState(head);
+        Optional<String> unread = unreadState(head, route.get());
         if (unread.isPresent()) {
             refuse(request, head, ResultCode.STARTING, unread.get(), OTHER_INSTANCE_RETRY_AFTER_MS);
             return;
@@ -112,7 +113,7 @@
     }
 
     /** Returns what this instance has not read from the store yet and needs for the request. */
-    private Optional<String> unreadState(RequestHead head) {
+    private Optional<String> unreadState(RequestHead head, Route route) {
         Blackboard blackboard = context.blackboard();
         if (!blackboard.serversKnown()) {
             return Optional.of("This instance has no list of backend servers yet.");
@@ -120,6 +121,9 @@
         if (!blackboard.evacuationsKnown()) {
             return Optional.of("This instance has not read yet which availability zones are evacuated.");
         }
+        if (!blackboard.streamVersionsKnown() && route.retryPolicy() == RetryPolicy.RESUMABLE_STREAM) {
+            return Optional.of("This instance has not read yet which versions may begin streams.");
+        }
         if (!blackboard.crashesKnown() && !head.sharedPartIds().isEmpty()) {
             return Optional.of("This instance has not read yet which prompts crash servers.");
         }
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestFlow.java
@@ -12,7 +12,6 @@
 import io.hornbeamfield.core.result.ResultCode;
 import io.hornbeamfield.core.route.HomeRegions;
 import io.hornbeamfield.core.route.Route;
-import io.hornbeamfield.core.route.RouteConfig;
 import io.hornbeamfield.core.route.ServiceSpec;
 import io.hornbeamfield.core.route.WorkspaceAccess;
 import io.hornbeamfield.entry.LoggedTask;
@@ -43,6 +42,7 @@
     private final PromptParts parts;
     private final ForwardedStream stream;
     private final ServerSelection servers;
+    private final StreamVersions versions;
     private final NextSteps nextSteps;
     private final RequestLog log;
     private final RequestTimers timers;
@@ -74,6 +74,7 @@
         this.timers = new RequestTimers(context.clock(), context.timers());
         this.tokens = new TokenReservation(context, head, workspace, spec, this);
         this.servers = new ServerSelection(context, service, spec, head, HomeRegions.of(route, workspace));
+        this.versions = new StreamVersions(context, head, route, service, workspace, servers);
         this.parts = new PromptParts(context, service, head);
         this.stream = new ForwardedStream(request, head.maxOutputTokens(), context.clock());
         this.nextSteps = new NextSteps(context, route, service, time, servers, stream);
@@ -89,7 +90,7 @@
         context.retries().requestArrived(service);
         request.onCallerGone(this::onCallerGone);
         timers.startDeadline(time.timeoutMs(), this::onDeadline);
-        tokens.start(route.objectiveMs());
+        versions.determine(() -> done, () -> tokens.start(route.objectiveMs()), this::refuse);
         waited = true;
     }
 
@@ -181,11 +182,10 @@
 
     /** Returns the request to send, empty if too little time is left. */
     private Optional<OutboundRequest> outbound(ServerConnectionPool pool) {
-        if (!time.allowsAttempt()) {
+        if (!time.allowsAttempt() || !servers.allows(pool.server())) {
             return Optional.empty();
         }
-        boolean keysRequired =
-                context.blackboard().config().map(RouteConfig::keysRequired).orElse(true);
+        boolean keysRequired = context.blackboard().keysRequired();
         return Optional.of(ForwardedRequest.of(
                 pool.server().id(), request, keysRequired, workspace, time.remainingMs(), stream.lastEventId()));
     }
@@ -200,7 +200,9 @@
         if (source != attempt || done) {
             return;
         }
-        if (!stream.forward(part)) {
+        boolean valid = stream.forward(part);
+        versions.eventForwarded(stream.started(), source.server());
+        if (!valid) {
             source.endAsExcessive("the server sends without end and without a new event");
         } else if (stream.exceedsMaximum()) {
             context.pools().suspend(source.pool(), "more events than output tokens");
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestLog.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/RequestLog.java
@@ -56,6 +56,7 @@
         context.log()
                 .event("request")
                 .field("id", head.attemptId())
+                .field("resumes", head.resumes())
                 .field("route", route.name())
                 .field("service", service)
                 .field("workspace", workspace.map(WorkspaceAccess::name).orElse(""))
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerSelection.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerSelection.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
 /** Selects the servers for the attempts of one request by the placement policy of its service. */
@@ -24,6 +25,7 @@
     private final RequestHead head;
     private final HomeRegions homeRegions;
     private final Set<String> tried = new HashSet<>();
+    private Predicate<BackendServer> allowed = server -> true;
     private StreamObserver observer = StreamObserver.NONE;
     private OptionalLong shortestRetryAfterMs = OptionalLong.empty();
 
@@ -45,11 +47,20 @@
         return String.join(",", tried);
     }
 
+    /** Limits the selection to certain servers, in place of an earlier limit. */
+    void limitTo(Predicate<BackendServer> servers) {
+        allowed = servers;
+    }
+
+    /** Returns whether the limit of this request allows a server, whose registration may have changed meanwhile. */
+    boolean allows(BackendServer server) {
+        return allowed.test(server);
+    }
+
     private List<ServerConnectionPool> usable() {
-        List<ServerConnectionPool> usable = context.pools().usable(service);
-        return homeRegions.restricted()
-                ? usable.stream().filter(l -> isAtHome(l.server())).toList()
-                : usable;
+        return context.pools().usable(service).stream()
+                .filter(l -> allows(l.server()) && (!homeRegions.restricted() || isAtHome(l.server())))
+                .toList();
     }
 
     private boolean isAtHome(BackendServer server) {
@@ -98,6 +109,9 @@
         if (homeRegions.restricted() && atHome.isEmpty()) {
             return counted("home-regions", "No backend server in the home regions of this request accepts requests.");
         }
+        if (!usable.isEmpty() && usable.stream().noneMatch(this::allows)) {
+            return counted("version", "No backend server of the version that must run this request accepts requests.");
+        }
         return counted("no-server", detail);
     }
 
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/Traffic.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/Traffic.java
@@ -25,7 +25,7 @@
  *
  * <pre>{@code
  * Traffic traffic = Traffic.start(settings, clock, timers, transport, blackboard, book, requestTokens, activity,
- *         crashListener, metrics, log);
+ *         crashListener, origins, metrics, log);
  * }</pre>
  */
 public final class Traffic {
@@ -56,6 +56,7 @@
             Consumer<String> requestTokens,
             PartActivity partActivity,
             CrashListener crashListener,
+            StreamOrigins origins,
             Metrics metrics,
             EventLog log) {
         ServerConnectionPools pools = new ServerConnectionPools(
@@ -92,6 +93,7 @@
                 settings.get().zoneRegions(),
                 partActivity,
                 crashListener,
+                origins,
                 metrics,
                 log));
         transport.listen(
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/TrafficContext.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/TrafficContext.java
@@ -27,5 +27,6 @@
         ZoneRegions zoneRegions,
         PartActivity partActivity,
         CrashListener crashListener,
+        StreamOrigins origins,
         Metrics metrics,
         EventLog log) {}
--- a/entry/src/test/java/io/hornbeamfield/entry/EntryFixture.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/EntryFixture.java
@@ -44,6 +44,15 @@
         return r;
     }
 
+    /** Starts a server whose registration names the version of its software. */
+    FakeBackendServer versionedRunner(String id, String service, String version) {
+        FakeBackendServer r = new FakeBackendServer(id, service);
+        r.version(version);
+        r.register(store, false);
+        runners.add(r);
+        return r;
+    }
+
     /** Registers a server at an address of the test's own. */
     static void register(FakeStore store, String id, String service, String address) {
         ObjectNode entry = Json.mapper().createObjectNode();
@@ -128,6 +137,18 @@
         return config;
     }
 
+    /** Returns a configuration with a further workspace whose key is {@code key-2}. */
+    ObjectNode configOfTwoWorkspaces(long version) {
+        ObjectNode config = config(version);
+        config.withArray("tenants")
+                .addObject()
+                .put("name", "gardens")
+                .put("prepay", prepaid)
+                .putArray("api-keys")
+                .add("key-2");
+        return config;
+    }
+
     void route(ArrayNode routes, String name, String kind, String service, int attempts, boolean resumable) {
         routes.addObject()
                 .put("name", name)
--- /dev/null
+++ b/entry/src/test/java/io/hornbeamfield/entry/StreamsOfTwoVersionsTest.java
@@ -0,0 +1,296 @@
+package io.hornbeamfield.entry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.hornbeamfield.net.relay.Header;
+import io.hornbeamfield.net.relay.InboundRequest;
+import io.hornbeamfield.platform.standin.FakeBackendServer;
+import io.hornbeamfield.platform.standin.FakeStore;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against streams that are joined from the events of servers of two software versions. */
+final class StreamsOfTwoVersionsTest {
+    private static final String OLD = "1.0";
+    private static final String NEW = "1.1";
+    private static final int TAKE_UPS = 8;
+
+    private final EntryFixture fleet = new EntryFixture();
+    private final AtomicInteger attempts = new AtomicInteger();
+
+    @AfterEach
+    void stop() {
+        fleet.close();
+    }
+
+    /** Starts a server that breaks new streams off after their first event and ends those that go on. */
+    private FakeBackendServer server(String id, String version) {
+        FakeBackendServer server = fleet.versionedRunner(id, "model", version);
+        server.respondWith(r -> {
+            String last = r.header("Last-Event-Id");
+            r.start(200, FakeBackendServer.signedHeaders(r));
+            if (last == null) {
+                r.write(FakeBackendServer.event(1));
+                new Thread(() -> cutSoon(r)).start();
+            } else {
+                r.write(FakeBackendServer.event(Long.parseLong(last) + 1));
+                r.end();
+            }
+        });
+        return server;
+    }
+
+    private static void cutSoon(InboundRequest r) {
+        try {
+            Thread.sleep(50);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        r.cut();
+    }
+
+    private ReceivedAnswer send(int entry, String key, String... more) {
+        List<String> headers = new ArrayList<>(List.of(
+                "Authorization: Bearer " + key,
+                "X-Attempt-Id: try-" + attempts.incrementAndGet(),
+                EntryFixture.DEADLINE,
+                "X-Token-Counts: 10,10"));
+        headers.addAll(List.of(more));
+        return ReceivedAnswer.of(Caller.send(fleet.address(entry), "POST", "/chat/x", headers.toArray(String[]::new))
+                .all());
+    }
+
+    /** Begins a stream that breaks off, and returns the id of its attempt. */
+    private String begin(int entry) {
+        ReceivedAnswer begun = send(entry, "key-1");
+        assertThat(begun.body()).contains("piece 1").doesNotContain("piece 2");
+        assertThat(begun.complete()).isFalse();
+        return "try-" + attempts.get();
+    }
+
+    private ReceivedAnswer takeUp(int entry, String attempt) {
+        return send(entry, "key-1", "Resumes: " + attempt, "Last-Event-Id: 1");
+    }
+
+    private static long resumed(FakeBackendServer server) {
+        return server.receivedRequests().stream()
+                .filter(r -> r.header("Last-Event-Id") != null)
+                .count();
+    }
+
+    private void assertGoesOn(ReceivedAnswer answer) {
+        assertThat(answer.status()).isEqualTo(200);
+        assertThat(answer.complete()).isTrue();
+        assertThat(answer.body()).contains("piece 2");
+    }
+
+    private static void assertRefused(ReceivedAnswer answer, int code) {
+        assertThat(answer.status()).isEqualTo(503);
+        assertThat(answer.body()).contains("\"code\":" + code, "\"ran\":\"no\"");
+    }
+
+    private void awaitServers(int number) {
+        EntryFixture.await(() -> fleet.entries.stream()
+                .allMatch(e -> e.blackboard().servers("model").size() == number
+                        && e.blackboard().servers("model").stream()
+                                .allMatch(s -> e.blackboard().mayBeginStream(s))));
+    }
+
+    private void startTwo() {
+        fleet.configure(1);
+        fleet.startReady();
+        fleet.startReady();
+        EntryFixture.await(() ->
+                fleet.entries.stream().allMatch(e -> e.blackboard().members().size() == fleet.entries.size()));
+    }
+
+    /** Ends all instances, and returns the index of one that is started after that. */
+    private int killAllAndStartOne() {
+        int next = fleet.entries.size();
+        fleet.entries.forEach(EntryProcess::close);
+        fleet.startReady();
+        return next;
+    }
+
+    @Test
+    void aStreamThatBreaksOffWithinAnAnswerGoesOnAtItsVersionOnly() {
+        FakeBackendServer first = server("i-1", OLD);
+        FakeBackendServer second = server("i-2", OLD);
+        FakeBackendServer other = server("i-3", NEW);
+        fleet.configure(1);
+        fleet.startReady();
+        awaitServers(3);
+        int complete = 0;
+        for (int i = 0; i < 3 * TAKE_UPS; i++) {
+            complete += send(0, "key-1").complete() ? 1 : 0;
+        }
+        assertThat(resumed(other)).isZero();
+        assertThat(resumed(first) + resumed(second)).isEqualTo(complete).isPositive();
+    }
+
+    @Test
+    void aStreamThatBreaksOffWithoutAnotherServerOfItsVersionIsCut() {
+        FakeBackendServer old = server("i-8", OLD);
+        FakeBackendServer other = server("i-1", NEW);
+        fleet.configure(1);
+        fleet.startReady();
+        awaitServers(2);
+        for (int i = 0; i < TAKE_UPS; i++) {
+            begin(0);
+        }
+        assertThat(resumed(old) + resumed(other)).isZero();
+    }
+
+    @Test
+    void aStreamThatIsTakenUpAtAnotherInstanceGoesOnAtItsVersion() {
+        FakeBackendServer old = server("i-8", OLD);
+        startTwo();
+        String attempt = begin(0);
+        FakeBackendServer other = server("i-1", NEW);
+        FakeBackendServer another = server("i-2", NEW);
+        awaitServers(3);
+        for (int i = 0; i < TAKE_UPS; i++) {
+            assertGoesOn(takeUp(i % 2, attempt));
+        }
+        assertThat(resumed(old)).isEqualTo(TAKE_UPS);
+        assertThat(resumed(other) + resumed(another)).isZero();
+    }
+
+    /** Waits until the instances are linked, so that a stream of one is known to the other within a short time. */
+    private void awaitThatTheOtherInstanceIsTold() {
+        EntryFixture.await(() -> takeUp(1, begin(0)).status() == 200);
+    }
+
+    @Test
+    void aStreamGoesOnAfterItsInstanceWasLostAlsoWhileTheStoreIsSilent() throws InterruptedException {
+        server("i-8", OLD);
+        FakeBackendServer other = server("i-1", NEW);
+        startTwo();
+        awaitServers(2);
+        awaitThatTheOtherInstanceIsTold();
+        long before = other.receivedRequests().size();
+        String attempt = begin(0);
+        boolean begunByOther = other.receivedRequests().size() > before;
+        // The other instance is told within this time.
+        Thread.sleep(500);
+        fleet.entries.get(0).close();
+        fleet.store.mode(FakeStore.Mode.SILENT);
+        long resumedByOther = resumed(other);
+        assertGoesOn(takeUp(1, attempt));
+        assertThat(resumed(other) > resumedByOther).isEqualTo(begunByOther);
+    }
+
+    @Test
+    void afterAKillOfAllAStreamGoesOnIfOneVersionServes() {
+        FakeBackendServer old = server("i-8", OLD);
+        startTwo();
+        String attempt = begin(0);
+        assertGoesOn(takeUp(killAllAndStartOne(), attempt));
+        assertThat(resumed(old)).isEqualTo(1);
+    }
+
+    /**
+     * Guards against a fleet that refuses to continue all streams after a kill of all, though their servers are there.
+     */
+    @Test
+    void afterAKillOfAllAmongTwoVersionsAStreamGoesOnAtItsVersion() throws InterruptedException {
+        FakeBackendServer old = server("i-8", OLD);
+        FakeBackendServer other = server("i-1", NEW);
+        startTwo();
+        awaitServers(2);
+        awaitThatTheOtherInstanceIsTold();
+        long before = other.receivedRequests().size();
+        String attempt = begin(1);
+        boolean begunByOther = other.receivedRequests().size() > before;
+        // The store is told within this time.
+        Thread.sleep(1_500);
+        long resumedByOld = resumed(old);
+        long resumedByOther = resumed(other);
+        int started = killAllAndStartOne();
+        assertGoesOn(takeUp(started, attempt));
+        assertThat(resumed(other) - resumedByOther).isEqualTo(begunByOther ? 1 : 0);
+        assertThat(resumed(old) - resumedByOld).isEqualTo(begunByOther ? 0 : 1);
+        assertRefused(takeUp(started, "forged"), 3009);
+    }
+
+    @Test
+    void afterAKillOfAllAStreamOfAVersionThatHasLeftIsRefusedAndANewOneBegins() {
+        server("i-8", OLD);
+        startTwo();
+        String attempt = begin(0);
+        FakeBackendServer other = server("i-1", NEW);
+        awaitServers(2);
+        fleet.store.remove("servers", "i-8");
+        awaitServers(1);
+        int started = killAllAndStartOne();
+        assertRefused(takeUp(started, attempt), 3009);
+        assertThat(resumed(other)).isZero();
+        begin(started);
+    }
+
+    @Test
+    void aStreamOfAVersionWithoutServersIsRefusedAtOnceAndServedLater() {
+        server("i-8", OLD);
+        startTwo();
+        String attempt = begin(0);
+        FakeBackendServer other = server("i-1", NEW);
+        awaitServers(2);
+        fleet.store.remove("servers", "i-8");
+        awaitServers(1);
+        long startNs = System.nanoTime();
+        ReceivedAnswer refused = takeUp(1, attempt);
+        assertThat(System.nanoTime() - startNs).isLessThan(1_000_000_000L);
+        assertRefused(refused, 3004);
+        assertThat(Header.find(refused.headers(), "Retry-After")).isPresent();
+        assertThat(resumed(other)).isZero();
+        FakeBackendServer again = server("i-9", OLD);
+        awaitServers(2);
+        assertGoesOn(takeUp(1, attempt));
+        assertThat(resumed(again)).isEqualTo(1);
+    }
+
+    @Test
+    void aServerThatReturnsUnderItsIdWithAnotherVersionGetsNoStreamOfItsEarlierOne() {
+        FakeBackendServer server = server("i-8", OLD);
+        startTwo();
+        String attempt = begin(0);
+        server.version(NEW);
+        server.register(fleet.store, false);
+        EntryFixture.await(() -> fleet.entries.stream()
+                .allMatch(e -> e.blackboard().servers("model").get(0).version().equals(NEW)
+                        && e.blackboard()
+                                .mayBeginStream(e.blackboard().servers("model").get(0))));
+        assertRefused(takeUp(0, attempt), 3004);
+        assertRefused(takeUp(1, attempt), 3004);
+        assertThat(resumed(server)).isZero();
+    }
+
+    @Test
+    void anIdThatIsUnknownOrAnotherWorkspacesOpensNoStream() {
+        server("i-8", OLD);
+        server("i-1", NEW);
+        fleet.store.put("config", "main", fleet.configOfTwoWorkspaces(1));
+        fleet.startReady();
+        awaitServers(2);
+        String attempt = begin(0);
+        assertGoesOn(takeUp(0, attempt));
+        assertRefused(send(0, "key-2", "Resumes: " + attempt, "Last-Event-Id: 1"), 3009);
+        assertRefused(takeUp(0, "forged"), 3009);
+        assertRefused(send(0, "key-1", "Last-Event-Id: 1"), 3009);
+        assertRefused(send(0, "key-1", "Resumes: " + "x".repeat(10_000), "Last-Event-Id: 1"), 3009);
+    }
+
+    @Test
+    void aFleetWhoseServersNameNoVersionResumesAsBefore() {
+        FakeBackendServer server = server("i-1", "");
+        startTwo();
+        String attempt = begin(0);
+        int started = killAllAndStartOne();
+        assertGoesOn(takeUp(started, attempt));
+        assertGoesOn(send(started, "key-1", "Last-Event-Id: 1"));
+        assertThat(resumed(server)).isEqualTo(2);
+    }
+}
--- a/entry/src/test/java/io/hornbeamfield/entry/traffic/ColdServerRequestsTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/traffic/ColdServerRequestsTest.java
@@ -102,6 +102,7 @@
                 workspace -> {},
                 new PartActivity(clock),
                 (service, server, request, parts) -> {},
+                new NoStreamOrigins(),
                 metrics,
                 EventLog.none());
     }
--- a/entry/src/test/java/io/hornbeamfield/entry/traffic/EnginePoliciesTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/traffic/EnginePoliciesTest.java
@@ -50,7 +50,7 @@
     private static RequestHead request(String prefix, long tokens) {
         List<RequestHead.PromptPart> parts =
                 List.of(new RequestHead.PromptPart(prefix, 5_382), new RequestHead.PromptPart("own", tokens - 5_382));
-        return new RequestHead("a1", Optional.empty(), tokens, 380, parts);
+        return new RequestHead("a1", Optional.empty(), tokens, 380, false, "", parts);
     }
 
     private EnginePolicies.Selection select(EnginePolicies p, String prefix) {
--- a/entry/src/test/java/io/hornbeamfield/entry/traffic/EngineRequestsTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/traffic/EngineRequestsTest.java
@@ -13,6 +13,7 @@
 import io.hornbeamfield.core.route.ServiceSpec;
 import io.hornbeamfield.core.route.WeightedService;
 import io.hornbeamfield.core.route.WorkspaceAccess;
+import io.hornbeamfield.core.stream.ServiceVersion;
 import io.hornbeamfield.core.time.ManualClock;
 import io.hornbeamfield.entry.Blackboard;
 import io.hornbeamfield.entry.DeploymentSettings;
@@ -44,6 +45,11 @@
     private final PrepaidHoldings book = new PrepaidHoldings(clock, "entry-1/a", () -> 1);
     private final ScheduledThreadPoolExecutor executor = new ScheduledThreadPoolExecutor(1);
 
+    @BeforeEach
+    void allowStreams() {
+        blackboard.streamVersions(Set.of(new ServiceVersion("model", "")));
+    }
+
     @BeforeEach
     void start() {
         WorkspaceAccess plots =
@@ -101,6 +107,7 @@
                 workspace -> {},
                 new PartActivity(clock),
                 (service, server, request, parts) -> {},
+                new NoStreamOrigins(),
                 metrics,
                 EventLog.none());
     }
--- a/entry/src/test/java/io/hornbeamfield/entry/traffic/EvacuatedDispatchTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/traffic/EvacuatedDispatchTest.java
@@ -12,6 +12,7 @@
 import io.hornbeamfield.core.route.ServiceSpec;
 import io.hornbeamfield.core.route.WeightedService;
 import io.hornbeamfield.core.route.WorkspaceAccess;
+import io.hornbeamfield.core.stream.ServiceVersion;
 import io.hornbeamfield.core.time.ManualClock;
 import io.hornbeamfield.entry.Blackboard;
 import io.hornbeamfield.entry.EntrySettings;
@@ -62,6 +63,7 @@
         book.updateTotals(List.of(plots));
         blackboard.servers(Map.of("plain", List.of(server("i-1", "north"), server("i-2", "south"))));
         blackboard.markCrashesKnown();
+        blackboard.streamVersions(Set.of(new ServiceVersion("plain", "")));
         EntrySettings settings = new EntrySettings(
                 "entry-1",
                 "north",
@@ -89,6 +91,7 @@
                 workspace -> {},
                 new PartActivity(clock),
                 (service, server, request, parts) -> {},
+                new NoStreamOrigins(),
                 Metrics.create(),
                 EventLog.none());
     }
--- a/entry/src/test/java/io/hornbeamfield/entry/traffic/LateDispatchTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/traffic/LateDispatchTest.java
@@ -12,6 +12,7 @@
 import io.hornbeamfield.core.route.ServiceSpec;
 import io.hornbeamfield.core.route.WeightedService;
 import io.hornbeamfield.core.route.WorkspaceAccess;
+import io.hornbeamfield.core.stream.ServiceVersion;
 import io.hornbeamfield.core.time.ManualClock;
 import io.hornbeamfield.entry.Blackboard;
 import io.hornbeamfield.entry.EntrySettings;
@@ -72,6 +73,7 @@
                 Optional.of(List.of(plots))));
         book.updateTotals(List.of(plots));
         blackboard.servers(Map.of("plain", List.of(server("i-1"), server("i-2"))));
+        blackboard.streamVersions(Set.of(new ServiceVersion("plain", "")));
         blackboard.markCrashesKnown();
         EntrySettings settings = new EntrySettings(
                 "entry-1",
@@ -100,6 +102,7 @@
                 workspace -> {},
                 new PartActivity(clock),
                 (service, server, request, parts) -> {},
+                new NoStreamOrigins(),
                 Metrics.create(),
                 EventLog.none());
     }
--- a/net/src/main/java/io/hornbeamfield/net/peer/PeerMessage.java
+++ b/net/src/main/java/io/hornbeamfield/net/peer/PeerMessage.java
@@ -8,6 +8,7 @@
 import io.hornbeamfield.core.config.ServerState;
 import io.hornbeamfield.core.config.WorkspaceShard;
 import io.hornbeamfield.core.quarantine.CrashEvidence;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
@@ -29,7 +30,10 @@
     @JsonSubTypes.Type(value = PeerMessage.LimitUpdate.class, name = "LimitUpdate"),
     @JsonSubTypes.Type(value = PeerMessage.LimitAck.class, name = "LimitAck"),
     @JsonSubTypes.Type(value = PeerMessage.LimitQuery.class, name = "LimitQuery"),
-    @JsonSubTypes.Type(value = PeerMessage.LimitReply.class, name = "LimitReply")
+    @JsonSubTypes.Type(value = PeerMessage.LimitReply.class, name = "LimitReply"),
+    @JsonSubTypes.Type(value = PeerMessage.StreamsBegun.class, name = "StreamsBegun"),
+    @JsonSubTypes.Type(value = PeerMessage.StreamQuery.class, name = "StreamQuery"),
+    @JsonSubTypes.Type(value = PeerMessage.StreamReply.class, name = "StreamReply")
 })
 public sealed interface PeerMessage {
 
@@ -121,4 +125,34 @@
             limits = Map.copyOf(limits);
         }
     }
+
+    /**
+     * A message about the versions that began streams. Only instances that register that they remember streams get it.
+     */
+    sealed interface AboutStreams extends PeerMessage {}
+
+    /**
+     * A stream that has begun.
+     *
+     * @param attemptId attempt of the caller that got its first event
+     * @param version version of the server that sent this event; empty if several streams have the same id
+     */
+    record BegunStream(String workspace, String attemptId, String service, Optional<String> version) {}
+
+    /**
+     * Tells the receiver of streams that it remembers from now on.
+     *
+     * @param keep whether the receiver also keeps them in the store while several versions serve
+     */
+    record StreamsBegun(List<BegunStream> streams, boolean keep) implements AboutStreams {
+        public StreamsBegun {
+            streams = List.copyOf(streams);
+        }
+    }
+
+    /** Asks whether the receiver remembers a stream. */
+    record StreamQuery(String queryId, String workspace, String attemptId) implements AboutStreams {}
+
+    /** The stream that was asked for, empty if the sender does not remember it. */
+    record StreamReply(String queryId, Optional<BegunStream> stream) implements AboutStreams {}
 }
