Remove no registrations while the own link is full

Cause: an instance blamed itself only if more than half of those that it checks are silent. Class: a failure detector that takes its own congestion for the failure of others. Change: CheckedInstances.isProbablyAtFault also counts a full link (LinkUse), so that the instance neither removes nor stops naming the others then. Measured: FullLinkTest.anInstanceWhoseLinkIsFullRemovesNoOther passes: the registration of the silent instance stays for 5 s with a full link, and goes once the link is free. CheckedInstancesTest, LinkUseTest, EndedInstanceAddressTest and CallersByCapacityTest pass.

--- a/core/src/main/java/io/hornbeamfield/core/discovery/CheckedInstances.java
+++ b/core/src/main/java/io/hornbeamfield/core/discovery/CheckedInstances.java
@@ -33,13 +33,15 @@
     }
 
     /**
-     * Returns whether the checking instance is probably the one that is partitioned.
+     * Returns whether the checking instance probably causes the silence itself: it is partitioned, or its own link is
+     * full, so that answers arrive too late.
      *
      * @param silent number of checked instances that do not answer
      * @param others number of other registered instances
+     * @param linkFull whether the link of the checking instance is full
      */
-    public static boolean isProbablyPartitioned(int silent, int others) {
-        return silent > MAX_SILENT_SHARE * Math.min(MAX_CHECKED, others);
+    public static boolean isProbablyAtFault(int silent, int others, boolean linkFull) {
+        return linkFull || silent > MAX_SILENT_SHARE * Math.min(MAX_CHECKED, others);
     }
 
     /** Returns the names of the instances that the given instance checks. */
--- a/core/src/main/java/io/hornbeamfield/core/discovery/LinkUse.java
+++ b/core/src/main/java/io/hornbeamfield/core/discovery/LinkUse.java
@@ -5,7 +5,8 @@
 /**
  * Estimates the used share of this instance's link, in the direction that is used more, smoothed over about two
  * seconds. A full link delays the answers of the store behind the bytes of callers, and callers that are refused
- * because servers seem unreachable send their requests again, which keeps the link full. Not thread-safe.
+ * because servers seem unreachable send their requests again, which keeps the link full. Not thread-safe, except for
+ * {@link #isFull}.
  *
  * <p>Answers the load of callers of one workspace that stay with one instance: 180 to 220 requests a second, nearly all
  * of them refused, on a link of 10 Mbit/s.
@@ -30,7 +31,7 @@
     private long sentBytes;
     private double received;
     private double sent;
-    private boolean full;
+    private volatile boolean full;
 
     /**
      * Creates an estimate.
--- a/core/src/test/java/io/hornbeamfield/core/discovery/CheckedInstancesTest.java
+++ b/core/src/test/java/io/hornbeamfield/core/discovery/CheckedInstancesTest.java
@@ -45,6 +45,13 @@
     }
 
     /** An instance that fails with all of its checkers must be detected once their registrations are gone. */
+    @Test
+    void anInstanceWhoseLinkIsFullBlamesNoOther() {
+        assertThat(CheckedInstances.isProbablyAtFault(1, 69, true)).isTrue();
+        assertThat(CheckedInstances.isProbablyAtFault(1, 69, false)).isFalse();
+        assertThat(CheckedInstances.isProbablyAtFault(7, 69, false)).isTrue();
+    }
+
     @Test
     void halfOfALargeFleetThatIsLostAtOnceIsNoticedInAFewRounds() {
         Random random = new Random(11);
@@ -66,7 +73,7 @@
             others.remove(self);
             Set<String> silent = new HashSet<>(CheckedInstances.of(self, others));
             silent.retainAll(lost);
-            if (!lost.contains(self) && !CheckedInstances.isProbablyPartitioned(silent.size(), others.size())) {
+            if (!lost.contains(self) && !CheckedInstances.isProbablyAtFault(silent.size(), others.size(), false)) {
                 detected.addAll(silent);
             }
         }
--- a/entry/src/main/java/io/hornbeamfield/entry/LoadSharing.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/LoadSharing.java
@@ -18,7 +18,7 @@
 /**
  * Distributes callers over the instances by capacity and load: measures the load of this instance, selects the
  * addresses of answers and decides which connections are closed. In force in a large fleet whose registered capacities
- * differ. Except for {@link #loads}, to be used under the serial of request handling.
+ * differ. Except for {@link #loads} and {@link #linkFull}, to be used under the serial of request handling.
  */
 public final class LoadSharing {
     /** Header of a readiness check that asks for the load, and of the response that carries it. */
@@ -81,6 +81,11 @@
         return loads;
     }
 
+    /** Returns whether the link of this instance is full. Thread-safe. */
+    public boolean linkFull() {
+        return link.isFull();
+    }
+
     /** Returns whether callers are distributed by capacity. */
     boolean active() {
         List<Member> members = blackboard.members();
--- a/entry/src/main/java/io/hornbeamfield/entry/control/MembershipController.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/MembershipController.java
@@ -54,6 +54,7 @@
     private final EventLog log;
     private final Member self;
     private final PeerTransfers peers;
+    private final LoadSharing sharing;
     private final InstanceLoads loads;
     private final Map<String, Member> registered = new HashMap<>();
     private final Map<String, Long> revisions = new HashMap<>();
@@ -72,7 +73,7 @@
             EventLog log,
             Member self,
             PeerTransfers peers,
-            InstanceLoads loads,
+            LoadSharing sharing,
             RecentReadiness readiness) {
         this.readiness = readiness;
         this.store = store;
@@ -82,7 +83,8 @@
         this.log = log;
         this.self = self;
         this.peers = peers;
-        this.loads = loads;
+        this.sharing = sharing;
+        this.loads = sharing.loads();
         blackboard.self(self);
         blackboard.mayBeNamed(readiness::mayBeNamed);
     }
@@ -255,9 +257,9 @@
                 .toList();
         List<Member> silent = others.stream().filter(this::isSilent).toList();
         boolean large = CheckedInstances.isLargeFleet(registered.size() - 1);
-        boolean probablyPartitioned = CheckedInstances.isProbablyPartitioned(silent.size(), others.size());
+        boolean atFault = CheckedInstances.isProbablyAtFault(silent.size(), others.size(), sharing.linkFull());
         List<Member> next = new ArrayList<>(others);
-        if (!probablyPartitioned) {
+        if (!atFault) {
             next.removeAll(silent);
             if (large) {
                 silent.forEach(this::unregisterSilent);
--- a/entry/src/test/java/io/hornbeamfield/entry/FullLinkTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/FullLinkTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.hornbeamfield.entry.Blackboard.Member;
+import io.hornbeamfield.net.json.Json;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.junit.jupiter.api.AfterEach;
@@ -19,6 +21,12 @@
     private static final Pattern LOAD = Pattern.compile("(?i)x-load-report: ([0-9.]+)");
     private static final double BUSY = 0.85;
 
+    /** A large fleet, in which the instance checks all of these. */
+    private static final int OTHERS = 13;
+
+    /** Several times what it takes to consider an instance silent. */
+    private static final long CHECKS_NS = 5_000_000_000L;
+
     private final ObservedLog log = new ObservedLog(line -> {});
     private final EntryFixture fleet = new EntryFixture();
 
@@ -33,6 +41,35 @@
         return report.find() ? Double.parseDouble(report.group(1)) : 0;
     }
 
+    /** Guards against a fleet that loses the registrations of sound instances, as answers to a full one come late. */
+    @Test
+    void anInstanceWhoseLinkIsFullRemovesNoOther() {
+        fleet.runner("i-1", "plain");
+        fleet.configure(1);
+        fleet.deployment(SLOW_LINK);
+        EntryProcess entry = fleet.startReady();
+        EntryFixture.await(() -> {
+            fleet.call("GET", "/nowhere/x", LARGE).status();
+            return reportedLoad() >= BUSY;
+        });
+        for (int i = 0; i < OTHERS; i++) {
+            // Only the last one does not answer.
+            String readiness = i < OTHERS - 1 ? fleet.readiness(0) : "127.0.0.1:1";
+            Member m = new Member("other-" + i, "north", "10.0.0." + i + ":1", readiness, "127.0.0.1:1", 1);
+            fleet.store.put("entries", m.name(), Json.tree(m));
+        }
+        EntryFixture.await(() -> entry.blackboard().members().size() == OTHERS + 1);
+        long untilNs = System.nanoTime() + CHECKS_NS;
+        while (System.nanoTime() < untilNs) {
+            fleet.call("GET", "/nowhere/x", LARGE).status();
+            assertThat(fleet.store.content("entries", "other-" + (OTHERS - 1)).isMissingNode())
+                    .isFalse();
+        }
+        assertThat(entry.blackboard().members()).hasSize(OTHERS + 1);
+        EntryFixture.await(
+                () -> fleet.store.content("entries", "other-" + (OTHERS - 1)).isMissingNode());
+    }
+
     @Test
     void callersThatAreRefusedStillCountAsLoadOfTheLink() {
         fleet.runner("i-1", "plain");
