Prove nothing by a record of versions that lacks a registered one

An action that waits for the stored origins at an instance that keeps none was kept for ever. Cause: the registrations were joined to the record in place of being compared with it. Change: only a record that names every registered version of the service, and one version, proves it; a read for a take-up completes the record; waiting actions run once the instance knows that it keeps no origins. Measured: OriginLookupTest.aRecordWithoutTheServiceProvesNothing and StreamsOfTwoVersionsTest.aRecordOfVersionsThatWasDeletedIsWrittenAgain are new; OriginSearchTest and EntryControlTest pass.

--- a/core/src/main/java/io/hornbeamfield/core/stream/OriginLookup.java
+++ b/core/src/main/java/io/hornbeamfield/core/stream/OriginLookup.java
@@ -60,13 +60,12 @@
      * Records the versions that the store named in a read that began after the request had arrived.
      *
      * @param registered versions of the service that its present registrations name; one that the record lacks shows
-     *     that the record is incomplete
+     *     that the record is incomplete, for example because it was deleted
      */
     public void recordRead(VersionRecord record, Set<String> registered) {
         recordPending = false;
-        Set<String> versions = new HashSet<>(record.of(service));
-        versions.addAll(registered);
-        if (certain.isEmpty() && versions.size() == 1) {
+        Set<String> versions = record.of(service);
+        if (certain.isEmpty() && versions.size() == 1 && versions.containsAll(registered)) {
             certain = Optional.of(new Result.Known(versions.iterator().next()));
         }
     }
--- a/core/src/test/java/io/hornbeamfield/core/stream/OriginLookupTest.java
+++ b/core/src/test/java/io/hornbeamfield/core/stream/OriginLookupTest.java
@@ -32,6 +32,14 @@
         assertThat(lookup.result()).isEqualTo(UNKNOWN);
     }
 
+    /** Guards against streams that are joined after an operator has deleted the record. */
+    @Test
+    void aRecordWithoutTheServiceProvesNothing() {
+        lookup.recordRead(VersionRecord.empty(), Set.of("1.1"));
+        lookup.timedOut();
+        assertThat(lookup.result()).isEqualTo(UNKNOWN);
+    }
+
     @Test
     void amongSeveralVersionsAnInstanceThatRemembersTheStreamDecides() {
         lookup.recordRead(TWO, Set.of("1.1"));
--- a/entry/src/main/java/io/hornbeamfield/entry/control/StoredOrigins.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/StoredOrigins.java
@@ -73,6 +73,10 @@
         return blackboard.isLedgerWriter(instance);
     }
 
+    private boolean keepsNone() {
+        return blackboard.membersKnown() && !keepsOrigins();
+    }
+
     /** Returns whether what the store keeps has been read. */
     boolean loaded() {
         return loaded;
@@ -87,6 +91,9 @@
     void tick() {
         load();
         write();
+        if (keepsNone()) {
+            runWaiting();
+        }
     }
 
     /** Reads the origins that the store keeps, once this instance is one of those that keep some. */
@@ -113,6 +120,10 @@
                 }
             });
         }
+        runWaiting();
+    }
+
+    private void runWaiting() {
         List<Runnable> waiting = List.copyOf(awaitingLoad);
         awaitingLoad.clear();
         waiting.forEach(Runnable::run);
@@ -131,8 +142,7 @@
      * Runs an action once this instance knows the origins that the store keeps, if it is one of those that keep some.
      */
     void whenLoaded(Runnable action) {
-        boolean keepsNone = blackboard.membersKnown() && !keepsOrigins();
-        if (loaded || keepsNone) {
+        if (loaded || keepsNone()) {
             action.run();
         } else {
             awaitingLoad.add(action);
--- a/entry/src/main/java/io/hornbeamfield/entry/control/StreamVersionController.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/StreamVersionController.java
@@ -106,10 +106,18 @@
                 .collect(Collectors.toSet());
     }
 
-    /** Reads the record as the store has it now. */
+    /** Reads the record as the store has it now, and completes it if it was deleted or is an older copy. */
     CompletableFuture<VersionRecord> read() {
         return store.get(KIND, NAME)
-                .thenApplyAsync(found -> found.map(this::decode).orElseGet(VersionRecord::empty), control);
+                .thenApplyAsync(
+                        found -> {
+                            VersionRecord current = found.map(this::decode).orElseGet(VersionRecord::empty);
+                            if (!registered.stream().allMatch(current::contains)) {
+                                sync();
+                            }
+                            return current;
+                        },
+                        control);
     }
 
     private boolean isFirstInstance() {
--- a/entry/src/test/java/io/hornbeamfield/entry/StreamsOfTwoVersionsTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/StreamsOfTwoVersionsTest.java
@@ -283,6 +283,18 @@
         assertRefused(send(0, "key-1", "Resumes: " + "x".repeat(10_000), "Last-Event-Id: 1"), 3009);
     }
 
+    @Test
+    void aRecordOfVersionsThatWasDeletedIsWrittenAgain() {
+        server("i-8", OLD);
+        startTwo();
+        String attempt = begin(0);
+        fleet.store.remove("stream-versions", "record");
+        assertRefused(takeUp(1, "forged"), 3009);
+        EntryFixture.await(
+                () -> !fleet.store.content("stream-versions", "record").isMissingNode());
+        assertGoesOn(takeUp(killAllAndStartOne(), attempt));
+    }
+
     @Test
     void aFleetWhoseServersNameNoVersionResumesAsBefore() {
         FakeBackendServer server = server("i-1", "");
