Name no instance between the first list and the first check

Cause: MembershipController published the first list and only then marked its instances as not yet checked; an instance that is not marked counts as one that is named without an answer. A lookup between the two names it. Change: the first check is started before the list is published. Measured: EndedInstanceAddressTest and FullLinkTest pass on this commit, once; the failure itself was not made to happen again, as the two steps follow each other without a hook between them.

--- a/entry/src/main/java/io/hornbeamfield/entry/control/MembershipController.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/MembershipController.java
@@ -133,12 +133,12 @@
         updateLedgerWriters(LedgerWriters.of(candidates));
         peers.updateMembers(registered.values(), self.name());
         loads.retain(registered.keySet());
-        publish();
         if (!listed && readiness.requiresAnswer()) {
             listed = true;
-            // The others are named to callers only after they have answered.
+            // The others are named to callers only after they have answered, so they are published as checked.
             checkReadiness();
         }
+        publish();
     }
 
     private void updateLedgerWriters(Set<String> names) {
