Tell other instances of streams less often while one version serves

Cause: instances told each other of new streams each 200 ms, though the record of versions alone decides while one version of each service serves. Change: each second while one version serves, as before while several do.

--- a/core/src/main/java/io/hornbeamfield/core/stream/VersionRegistry.java
+++ b/core/src/main/java/io/hornbeamfield/core/stream/VersionRegistry.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /**
  * Decides which versions this instance may begin streams with, and what it writes to the record that all instances
@@ -71,6 +72,14 @@
         return all.stream().filter(v -> v.service().equals(service)).count() > 1;
     }
 
+    /** Returns whether several versions of any service may have begun streams. */
+    public boolean hasSeveralVersions() {
+        return Stream.concat(recorded.stream(), registered.stream())
+                .map(ServiceVersion::service)
+                .distinct()
+                .anyMatch(this::hasSeveralVersions);
+    }
+
     /** Returns the versions with which streams may begin. */
     public Set<ServiceVersion> recorded() {
         return Set.copyOf(recorded);
--- a/core/src/test/java/io/hornbeamfield/core/stream/VersionRegistryTest.java
+++ b/core/src/test/java/io/hornbeamfield/core/stream/VersionRegistryTest.java
@@ -59,6 +59,17 @@
         assertThat(registry.removalDue()).isFalse();
     }
 
+    @Test
+    void aServiceHasSeveralVersionsAsSoonAsASecondOneIsRegistered() {
+        registry.registered(Set.of(OLD, new ServiceVersion("plain", "7")));
+        write();
+        assertThat(registry.hasSeveralVersions()).isFalse();
+        registry.registered(Set.of(NEW, new ServiceVersion("plain", "7")));
+        assertThat(registry.hasSeveralVersions()).isTrue();
+        assertThat(registry.hasSeveralVersions("model")).isTrue();
+        assertThat(registry.hasSeveralVersions("plain")).isFalse();
+    }
+
     /** Guards against an instance that uses a version which another one has removed from the record since. */
     @Test
     void aVersionThatReturnsAfterAMinuteIsConfirmedAgain() {
--- a/entry/src/main/java/io/hornbeamfield/entry/control/ControlPlane.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/ControlPlane.java
@@ -160,7 +160,7 @@
                 settings.instance(),
                 records,
                 streamVersions::hasSeveralVersions);
-        return new StreamOriginController(executor, blackboard, peers, streamVersions, records, stored);
+        return new StreamOriginController(executor, clock, blackboard, peers, streamVersions, records, stored);
     }
 
     private ConfigController configController(
--- a/entry/src/main/java/io/hornbeamfield/entry/control/StreamOriginController.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/StreamOriginController.java
@@ -11,6 +11,7 @@
 import io.hornbeamfield.entry.traffic.StreamOrigins;
 import io.hornbeamfield.net.peer.PeerLink;
 import io.hornbeamfield.net.peer.PeerMessage;
+import java.time.Clock;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -34,6 +35,9 @@
     /** A stream is told to this many other instances, so that it is known after the loss of one of them. */
     private static final int TOLD_INSTANCES = 2;
 
+    /** While one version of each service serves, the record of versions decides, except while the store is silent. */
+    private static final long RELAXED_TELLING_MS = 1_000;
+
     /** A slow store responds within 250 ms. */
     private static final long LOOKUP_TIMEOUT_MS = 400;
 
@@ -44,6 +48,7 @@
     private static final String STORED = "store";
 
     private final ScheduledExecutorService control;
+    private final Clock clock;
     private final Blackboard blackboard;
     private final PeerTransfers peers;
     private final StreamVersionController versions;
@@ -53,18 +58,21 @@
     private final Map<String, Lookup> lookups = new HashMap<>();
     private List<Lookup> awaitingRead = new ArrayList<>();
     private long lastLookup;
+    private long lastToldMs;
     private boolean reading;
 
     private record Lookup(String id, String service, OriginLookup state, Consumer<OriginLookup.Result> onResult) {}
 
     StreamOriginController(
             ScheduledExecutorService control,
+            Clock clock,
             Blackboard blackboard,
             PeerTransfers peers,
             StreamVersionController versions,
             StreamRecords records,
             StoredOrigins stored) {
         this.control = control;
+        this.clock = clock;
         this.blackboard = blackboard;
         this.peers = peers;
         this.versions = versions;
@@ -86,9 +94,11 @@
     }
 
     private void tellOthers() {
-        if (untold.isEmpty()) {
+        boolean due = versions.hasSeveralVersions() || clock.millis() - lastToldMs >= RELAXED_TELLING_MS;
+        if (untold.isEmpty() || !due) {
             return;
         }
+        lastToldMs = clock.millis();
         List<PeerLink> links = links();
         boolean keeps = stored.keepsOrigins();
         Map<PeerLink, List<PeerMessage.BegunStream>> remembered = new HashMap<>();
--- a/entry/src/main/java/io/hornbeamfield/entry/control/StreamVersionController.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/StreamVersionController.java
@@ -98,6 +98,11 @@
         return registry.hasSeveralVersions(service);
     }
 
+    /** Returns whether several versions of any service may have begun streams. */
+    boolean hasSeveralVersions() {
+        return registry.hasSeveralVersions();
+    }
+
     /** Returns the versions of a service that its present registrations name. */
     Set<String> registeredVersions(String service) {
         return registered.stream()
