--- a/entry/src/main/java/io/hornbeamfield/entry/Blackboard.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/Blackboard.java
@@ -9,6 +9,8 @@
 import io.hornbeamfield.core.quarantine.Quarantine;
 import io.hornbeamfield.core.route.RouteConfig;
 import io.hornbeamfield.core.stream.ServiceVersion;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -38,7 +40,7 @@
     private volatile Set<String> ledgerWriters = Set.of();
     private volatile Quarantine quarantine = Quarantine.none();
     private volatile boolean crashesKnown;
-    private volatile @Nullable Set<ServiceVersion> streamVersions;
+    private volatile @Nullable Map<String, Set<String>> streamVersions;
     private volatile Supplier<ShutdownStage> shutdownStage = () -> ShutdownStage.RUNNING;
     private volatile BooleanSupplier callerShedding = () -> false;
 
@@ -290,7 +292,10 @@
 
     /** Sets the versions whose servers may begin streams that are resumed. */
     public void streamVersions(Set<ServiceVersion> next) {
-        streamVersions = Set.copyOf(next);
+        Map<String, Set<String>> byService = new HashMap<>();
+        next.forEach(v ->
+                byService.computeIfAbsent(v.service(), s -> new HashSet<>()).add(v.version()));
+        streamVersions = byService;
     }
 
     /** Returns whether the versions whose servers may begin streams have been read. */
@@ -300,8 +305,8 @@
 
     /** Returns whether a server may begin a stream that is resumed. */
     public boolean mayBeginStream(BackendServer server) {
-        Set<ServiceVersion> known = streamVersions;
-        return known != null && known.contains(new ServiceVersion(server.service(), server.version()));
+        Map<String, Set<String>> known = streamVersions;
+        return known != null && known.getOrDefault(server.service(), Set.of()).contains(server.version());
     }
 
     /** Returns whether the crashes that other instances have seen have been read. */
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerSelection.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/ServerSelection.java
@@ -16,6 +16,7 @@
 import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
+import org.jspecify.annotations.Nullable;
 
 /** Selects the servers for the attempts of one request by the placement policy of its service. */
 final class ServerSelection {
@@ -25,7 +26,7 @@
     private final RequestHead head;
     private final HomeRegions homeRegions;
     private final Set<String> tried = new HashSet<>();
-    private Predicate<BackendServer> allowed = server -> true;
+    private @Nullable Predicate<BackendServer> limit;
     private StreamObserver observer = StreamObserver.NONE;
     private OptionalLong shortestRetryAfterMs = OptionalLong.empty();
 
@@ -49,18 +50,22 @@
 
     /** Limits the selection to certain servers, in place of an earlier limit. */
     void limitTo(Predicate<BackendServer> servers) {
-        allowed = servers;
+        limit = servers;
     }
 
     /** Returns whether the limit of this request allows a server, whose registration may have changed meanwhile. */
     boolean allows(BackendServer server) {
-        return allowed.test(server);
+        Predicate<BackendServer> l = limit;
+        return l == null || l.test(server);
     }
 
     private List<ServerConnectionPool> usable() {
-        return context.pools().usable(service).stream()
-                .filter(l -> allows(l.server()) && (!homeRegions.restricted() || isAtHome(l.server())))
-                .toList();
+        List<ServerConnectionPool> usable = context.pools().usable(service);
+        return limit == null && !homeRegions.restricted()
+                ? usable
+                : usable.stream()
+                        .filter(l -> allows(l.server()) && isAtHome(l.server()))
+                        .toList();
     }
 
     private boolean isAtHome(BackendServer server) {
