Read the stored origins of streams again after instances were lost

Callers of an instance that survived a kill of the six others got 503 STREAM_ORIGIN_UNKNOWN for streams that the store kept: an instance read what the others had written at its own start only, and lost instances were awaited for 400 ms.

An instance that keeps origins now reads them again before it answers about a stream that it does not remember if a linked one that keeps some was lost since the last read, or does not answer for 150 ms, at most once a second. Instances that hold the record answer without that read.

StreamsOfTwoVersionsTest: of its two new tests the one of lost instances failed before, the one of silent instances fails without the second trigger; all 14 pass.

--- a/core/src/main/java/io/hornbeamfield/core/stream/OriginLookup.java
+++ b/core/src/main/java/io/hornbeamfield/core/stream/OriginLookup.java
@@ -75,6 +75,26 @@
         recordPending = false;
     }
 
+    /** Returns the service of the request that takes the stream up. */
+    public String service() {
+        return service;
+    }
+
+    /** Records that a further instance is asked, or one again. */
+    public void asked(String instance) {
+        unanswered.add(instance);
+    }
+
+    /** Returns whether an instance was asked and has not answered. */
+    public boolean awaits(String instance) {
+        return unanswered.contains(instance);
+    }
+
+    /** Returns whether any instance was asked and has not answered. */
+    public boolean awaitsInstances() {
+        return !unanswered.isEmpty();
+    }
+
     /** Ends the lookup, whoever has not answered. */
     public void timedOut() {
         unanswered.clear();
--- a/entry/src/main/java/io/hornbeamfield/entry/control/StoredOrigins.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/StoredOrigins.java
@@ -33,6 +33,9 @@
 
     private static final long WRITE_INTERVAL_MS = 500;
 
+    /** Bounds the calls to the store while many streams are taken up that nobody remembers. */
+    private static final long READ_INTERVAL_MS = 1_000;
+
     private final StoreClient store;
     private final ScheduledExecutorService control;
     private final Clock clock;
@@ -45,6 +48,8 @@
     private final List<Runnable> awaitingLoad = new ArrayList<>();
     private boolean loading;
     private boolean loaded;
+    private boolean outdated;
+    private long lastReadMs;
     private boolean writing;
     private long lastWrittenMs;
 
@@ -77,9 +82,14 @@
         return blackboard.membersKnown() && !keepsOrigins();
     }
 
-    /** Returns whether what the store keeps has been read. */
-    boolean loaded() {
-        return loaded;
+    /** Returns whether what the store keeps is being read, or has not been read yet. */
+    boolean isReading() {
+        return loading || (!loaded && !keepsNone());
+    }
+
+    /** Records that an instance was lost or is silent, so that the store may keep origins that no other one tells. */
+    void markOutdated() {
+        outdated = true;
     }
 
     /** Keeps the origin of a stream. */
@@ -101,7 +111,19 @@
         if (loaded || loading || !keepsOrigins()) {
             return;
         }
+        read();
+    }
+
+    private void reload() {
+        if (loaded && outdated && !loading && clock.millis() - lastReadMs >= READ_INTERVAL_MS) {
+            read();
+        }
+    }
+
+    private void read() {
         loading = true;
+        outdated = false;
+        lastReadMs = clock.millis();
         store.list(KIND).whenCompleteAsync(this::onLoaded, control);
     }
 
@@ -109,6 +131,10 @@
         loading = false;
         if (list == null) {
             logFailed("read", String.valueOf(failure));
+            outdated = true;
+            if (loaded) {
+                runWaiting();
+            }
             return;
         }
         loaded = true;
@@ -140,12 +166,14 @@
 
     /**
      * Runs an action once this instance knows the origins that the store keeps, if it is one of those that keep some.
+     * Reads them again if other instances may have told too little.
      */
     void whenLoaded(Runnable action) {
-        if (loaded || keepsNone()) {
-            action.run();
-        } else {
+        reload();
+        if (isReading()) {
             awaitingLoad.add(action);
+        } else {
+            action.run();
         }
     }
 
--- a/entry/src/main/java/io/hornbeamfield/entry/control/StreamOriginController.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/StreamOriginController.java
@@ -41,8 +41,11 @@
     /** A slow store responds within 250 ms. */
     private static final long LOOKUP_TIMEOUT_MS = 400;
 
-    /** An instance that has just started needs this time to read the origins that the store keeps. */
-    private static final long START_LOOKUP_TIMEOUT_MS = 1_500;
+    /** Reading the origins that the store keeps takes longer than a single object. */
+    private static final long READ_TIMEOUT_MS = 1_500;
+
+    /** An instance that has not answered within this time may have been lost. */
+    private static final long SILENCE_MS = 150;
 
     /** Stands for the origins that the store keeps among the instances that a lookup asks. */
     private static final String STORED = "store";
@@ -61,7 +64,7 @@
     private long lastToldMs;
     private boolean reading;
 
-    private record Lookup(String id, String service, OriginLookup state, Consumer<OriginLookup.Result> onResult) {}
+    private record Lookup(String id, StreamId stream, OriginLookup state, Consumer<OriginLookup.Result> onResult) {}
 
     StreamOriginController(
             ScheduledExecutorService control,
@@ -158,27 +161,52 @@
         String queryId = Long.toString(++lastLookup);
         List<PeerLink> links = links();
         Set<String> asked = links.stream().map(l -> l.peer().incarnation()).collect(Collectors.toSet());
-        asked.add(STORED);
-        Lookup lookup = new Lookup(queryId, service, new OriginLookup(service, asked), onResult);
+        Lookup lookup = new Lookup(queryId, id, new OriginLookup(service, asked), onResult);
         lookups.put(queryId, lookup);
         for (PeerLink l : links) {
             if (!l.send(new PeerMessage.StreamQuery(queryId, id.workspace(), id.attemptId()))) {
                 lookup.state().instanceAnswered(l.peer().incarnation(), Optional.empty());
             }
         }
-        control.schedule(
-                () -> {
-                    lookup.state().timedOut();
-                    finishIfCertain(lookup);
-                },
-                stored.loaded() ? LOOKUP_TIMEOUT_MS : START_LOOKUP_TIMEOUT_MS,
-                TimeUnit.MILLISECONDS);
+        askStored(lookup);
+        limitTime(lookup);
+        awaitingRead.add(lookup);
+        readForLookups();
+    }
+
+    private void askStored(Lookup lookup) {
+        lookup.state().asked(STORED);
         stored.whenLoaded(() -> {
-            lookup.state().instanceAnswered(STORED, records.find(id));
+            lookup.state().instanceAnswered(STORED, records.find(lookup.stream()));
             finishIfCertain(lookup);
         });
-        awaitingRead.add(lookup);
-        readForLookups();
+    }
+
+    private void limitTime(Lookup lookup) {
+        control.schedule(() -> askStoredInsteadOfSilent(lookup), SILENCE_MS, TimeUnit.MILLISECONDS);
+        control.schedule(() -> endOnceRead(lookup), LOOKUP_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        control.schedule(() -> end(lookup), READ_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Reads what the store keeps if an instance does not answer, since the one that began the stream may be lost. */
+    private void askStoredInsteadOfSilent(Lookup lookup) {
+        boolean pending = lookups.containsKey(lookup.id()) && lookup.state().awaitsInstances();
+        if (pending && !stored.isReading() && versions.hasSeveralVersions()) {
+            stored.markOutdated();
+            askStored(lookup);
+        }
+    }
+
+    private void endOnceRead(Lookup lookup) {
+        if (lookups.containsKey(lookup.id())) {
+            stored.whenLoaded(() -> end(lookup));
+        }
+    }
+
+    /** Ends a lookup, whoever has not answered. */
+    private void end(Lookup lookup) {
+        lookup.state().timedOut();
+        finishIfCertain(lookup);
     }
 
     /** Reads the record for all lookups that wait, since a read that began before a request proves nothing about it. */
@@ -203,7 +231,9 @@
         if (record == null) {
             lookup.state().recordUnread();
         } else {
-            lookup.state().recordRead(record, versions.registeredVersions(lookup.service()));
+            lookup.state()
+                    .recordRead(
+                            record, versions.registeredVersions(lookup.state().service()));
         }
         finishIfCertain(lookup);
     }
@@ -220,8 +250,7 @@
             begun.streams().forEach(s -> remember(s, begun.keep()));
         } else if (message instanceof PeerMessage.StreamQuery q) {
             StreamId id = new StreamId(q.workspace(), q.attemptId());
-            stored.whenLoaded(() -> link.send(
-                    new PeerMessage.StreamReply(q.queryId(), records.find(id).map(o -> message(id, o)))));
+            reply(link, q.queryId(), id);
         } else if (message instanceof PeerMessage.StreamReply reply) {
             Lookup lookup = lookups.get(reply.queryId());
             if (lookup != null) {
@@ -233,6 +262,16 @@
         }
     }
 
+    private void reply(PeerLink link, String queryId, StreamId id) {
+        Runnable reply = () ->
+                link.send(new PeerMessage.StreamReply(queryId, records.find(id).map(o -> message(id, o))));
+        if (records.find(id).isPresent()) {
+            reply.run();
+        } else {
+            stored.whenLoaded(reply);
+        }
+    }
+
     private void remember(PeerMessage.BegunStream stream, boolean keep) {
         records.add(id(stream), origin(stream));
         if (keep) {
@@ -248,11 +287,18 @@
         return new StreamOrigin(s.service(), s.version());
     }
 
-    /** Ends the wait for the answers of an instance whose link has closed. */
+    /** Ends the wait for the answers of an instance whose link has closed; what it knew may be in the store. */
     void linkClosed(PeerLink link) {
-        List.copyOf(lookups.values()).forEach(l -> {
-            l.state().instanceAnswered(link.peer().incarnation(), Optional.empty());
-            finishIfCertain(l);
-        });
+        if (versions.hasSeveralVersions()
+                && blackboard.isLedgerWriter(link.peer().instanceId())) {
+            stored.markOutdated();
+        }
+        for (Lookup l : List.copyOf(lookups.values())) {
+            if (l.state().awaits(link.peer().incarnation())) {
+                askStored(l);
+                l.state().instanceAnswered(link.peer().incarnation(), Optional.empty());
+                finishIfCertain(l);
+            }
+        }
     }
 }
--- a/entry/src/test/java/io/hornbeamfield/entry/StreamsOfTwoVersionsTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/StreamsOfTwoVersionsTest.java
@@ -8,6 +8,8 @@
 import io.hornbeamfield.platform.standin.FakeStore;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -100,9 +102,19 @@
     }
 
     private void startTwo() {
+        start(2);
+    }
+
+    private void start(int instances) {
+        start(instances, EventLog.none());
+    }
+
+    private void start(int instances, EventLog log) {
         fleet.configure(1);
-        fleet.startReady();
-        fleet.startReady();
+        for (int i = 0; i < instances; i++) {
+            EntryProcess entry = fleet.start(i < instances - 1 ? log : EventLog.none());
+            EntryFixture.await(() -> entry.blackboard().ready());
+        }
         EntryFixture.await(() ->
                 fleet.entries.stream().allMatch(e -> e.blackboard().members().size() == fleet.entries.size()));
     }
@@ -216,6 +228,61 @@
         assertRefused(takeUp(started, "forged"), 3009);
     }
 
+    /** Guards against an instance that reads only at its start what the others have kept in the store. */
+    @Test
+    void aStreamGoesOnAtAnInstanceThatDidNotKnowItAfterAllOthersWereLost() throws InterruptedException {
+        server("i-8", OLD);
+        server("i-1", NEW);
+        start(4);
+        List<String> begun = beginSeveral();
+        fleet.entries.subList(0, 3).forEach(EntryProcess::close);
+        begun.forEach(attempt -> assertGoesOn(takeUp(3, attempt)));
+        assertRefused(takeUp(3, "forged"), 3009);
+    }
+
+    /** Begins streams at the first instance that the store keeps too. */
+    private List<String> beginSeveral() throws InterruptedException {
+        awaitServers(2);
+        awaitThatTheOtherInstanceIsTold();
+        List<String> begun = new ArrayList<>();
+        for (int i = 0; i < TAKE_UPS; i++) {
+            begun.add(begin(0));
+        }
+        // The store is told within this time.
+        Thread.sleep(1_500);
+        return begun;
+    }
+
+    @Test
+    void aStreamGoesOnAtAnInstanceThatDidNotKnowItWhileAllOthersAreSilent() throws InterruptedException {
+        server("i-8", OLD);
+        server("i-1", NEW);
+        CountDownLatch heldUp = new CountDownLatch(3);
+        CountDownLatch released = new CountDownLatch(1);
+        start(4, new ObservedLog(line -> {
+            if (line.contains("i-held-up")) {
+                heldUp.countDown();
+                awaitUninterrupted(released);
+            }
+        }));
+        List<String> begun = beginSeveral();
+        fleet.versionedRunner("i-held-up", "plain", "");
+        awaitUninterrupted(heldUp);
+        try {
+            begun.forEach(attempt -> assertGoesOn(takeUp(3, attempt)));
+        } finally {
+            released.countDown();
+        }
+    }
+
+    private static void awaitUninterrupted(CountDownLatch latch) {
+        try {
+            assertThat(latch.await(20, TimeUnit.SECONDS)).isTrue();
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
     @Test
     void afterAKillOfAllAStreamOfAVersionThatHasLeftIsRefusedAndANewOneBegins() {
         server("i-8", OLD);
