--- a/entry/src/test/java/io/hornbeamfield/entry/EndlessInputMemoryTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/EndlessInputMemoryTest.java
@@ -179,6 +179,27 @@
         awaitClosed();
     }
 
+    /** Guards against lines that occupy many times their length once they have been parsed. */
+    @ParameterizedTest
+    @ValueSource(strings = {"a head", "trailers"})
+    void answersWithManyShortHeaderLinesLeaveTheDaemonRunning(String what) throws Exception {
+        String start = what.equals("a head")
+                ? "HTTP/1.1 200 OK\r\n%s"
+                : "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n0\r\n";
+        for (int i = 0; i < SERVERS; i++) {
+            servers.add(RawServer.start(fleet.store, "i-p" + i, "plain", (head, out) -> {
+                RawServer.write(out, start.replace("%s", RawServer.signed(head)) + "a:\r\n".repeat(PART_BYTES / 4));
+                return true;
+            }));
+        }
+        startDaemon();
+        List<CompletableFuture<ResponseEnd>> answers = new ArrayList<>();
+        for (int i = 0; i < 4 * SERVERS; i++) {
+            answers.add(CompletableFuture.supplyAsync(() -> call("/read/0"), threads));
+        }
+        lookUpUntilDone(answers);
+    }
+
     private void awaitClosed() {
         assertThat(opened).hasPositiveValue();
         // The other side notices the end of its connection with its next write, in a thread of its own.
