Keep the engine busy until the tests of cancellation and load look

The engine of these tests now takes 80 ms a token and 2 s a load, and the time in which no further token may come has grown in proportion. Nothing that is asserted has changed.

--- a/standins/src/test/java/io/hornbeamfield/standins/engine/EngineOrderTest.java
+++ b/standins/src/test/java/io/hornbeamfield/standins/engine/EngineOrderTest.java
@@ -45,6 +45,9 @@
 
     @Test
     void loadedModelIsShownAfterItsLoadTime() throws Exception {
+        // The model must not be loaded before the first look, also when the test is delayed.
+        fixture.close();
+        fixture = new EngineFixture(EngineStandIn.builder().modelLoad(Duration.ofSeconds(2)));
         order(1, "load", "n");
         assertThat(loaded("n")).isFalse();
         EngineFixture.await(() -> loaded("n"));
--- a/standins/src/test/java/io/hornbeamfield/standins/engine/EngineStreamControlTest.java
+++ b/standins/src/test/java/io/hornbeamfield/standins/engine/EngineStreamControlTest.java
@@ -14,8 +14,7 @@
 
 /** Guards against engines that forget abandoned work or that hide silent streams and lost cancels from the tests. */
 class EngineStreamControlTest {
-    private final EngineFixture fixture =
-            new EngineFixture(EngineStandIn.builder().tokenMs(4));
+    private EngineFixture fixture = new EngineFixture(EngineStandIn.builder().tokenMs(4));
     private final List<OpenStream> opened = new ArrayList<>();
     private final List<ChatMessage> messages = EngineFixture.messages("hello");
     private final ReplyText expected = ReplyText.of(EngineFixture.WORKSPACE, messages, 60);
@@ -56,6 +55,9 @@
 
     @Test
     void cancelStopsTheProductionAndReturnsTheUsage() throws Exception {
+        // The production must not end before the cancellation arrives, also when the test is delayed.
+        fixture.close();
+        fixture = new EngineFixture(EngineStandIn.builder().tokenMs(80));
         var reader = stream();
         EngineFixture.await(() -> reader.chunks().size() > 3);
         var reply = fixture.http
@@ -64,7 +66,7 @@
         int produced =
                 Json.parse(reply.body()).path("usage").path("completion_tokens").asInt();
         assertThat(produced).isBetween(4, expected.tokens() - 1);
-        Thread.sleep(30);
+        Thread.sleep(600);
         assertThat(fixture.record("r1").completionTokens()).isEqualTo(produced);
         assertThat(fixture.record("r1").state()).isEqualTo("cancelled");
     }
