Bound the answers that wait for slow callers together

An answer that has been passed to a connection belongs to a request that has ended, and no pool counted it.

The transport now keeps at most an eighth of the heap of unsent answers and closes the connections on which most has waited longest. A pool of buffers may give its own order for that: with the order by size alone a caller that was reading its answer was cut, because the newest answer has the most unsent bytes.

SlowReaderMemoryTest ends the daemon with the mechanism off, on connections that close and on kept ones, and passes with it; so do RelayTransport*Test, PlannedStopTest, EntryRelayTest and EndlessInputMemoryTest.

--- a/core/src/main/java/io/hornbeamfield/core/attempt/BufferPool.java
+++ b/core/src/main/java/io/hornbeamfield/core/attempt/BufferPool.java
@@ -7,8 +7,8 @@
 
 /**
  * Bounds the memory that messages occupy together while they are collected or wait for slow receivers, for example the
- * answers of servers. When they occupy too much, those with the most are ended, so that small ones are not affected.
- * Not thread-safe.
+ * answers of servers. When they occupy too much, those with the most are ended, so that small ones are not affected,
+ * unless their holders give another order. Not thread-safe.
  *
  * <pre>{@code
  * pool.add(holder);
@@ -33,6 +33,11 @@
             return true;
         }
 
+        /** Returns a number that is larger the sooner the message is ended. */
+        default long releaseOrder() {
+            return bufferedBytes();
+        }
+
         /** Ends the message and releases its bytes; the pool has removed it. */
         void release();
     }
@@ -60,12 +65,12 @@
         }
         upperBoundBytes = holders.stream().mapToLong(Holder::bufferedBytes).sum();
         while (upperBoundBytes > limitBytes) {
-            Optional<Holder> largest =
-                    holders.stream().filter(Holder::mayBeReleased).max(Comparator.comparingLong(Holder::bufferedBytes));
-            if (largest.isEmpty()) {
+            Optional<Holder> next =
+                    holders.stream().filter(Holder::mayBeReleased).max(Comparator.comparingLong(Holder::releaseOrder));
+            if (next.isEmpty()) {
                 return;
             }
-            release(largest.get());
+            release(next.get());
         }
     }
 
--- a/core/src/test/java/io/hornbeamfield/core/attempt/BufferPoolTest.java
+++ b/core/src/test/java/io/hornbeamfield/core/attempt/BufferPoolTest.java
@@ -16,6 +16,7 @@
     private final class Answer implements BufferPool.Holder {
         private long bytes;
         private boolean kept;
+        private long waitedMs = 1;
 
         Answer() {
             pool.add(this);
@@ -37,6 +38,11 @@
             return !kept;
         }
 
+        @Override
+        public long releaseOrder() {
+            return bytes * waitedMs;
+        }
+
         @Override
         public void release() {
             bytes = 0;
@@ -52,6 +58,15 @@
         assertThat(ended).isEmpty();
     }
 
+    @Test
+    void anAnswerThatWaitsLongIsEndedBeforeALargerNewOne() {
+        Answer old = new Answer().grow(4_000);
+        old.waitedMs = 1_000;
+        Answer first = new Answer().grow(5_000);
+        first.grow(2_000);
+        assertThat(ended).containsExactly(old);
+    }
+
     @Test
     void theLargestAnswerIsEndedAndNotTheOneThatGrewLast() {
         Answer large = new Answer().grow(6_000);
--- a/entry/src/main/java/io/hornbeamfield/entry/traffic/Traffic.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/traffic/Traffic.java
@@ -154,6 +154,7 @@
         stats.put("openRequests", handler.openRequests());
         stats.put("waitingForTokens", prepaid.waiting());
         stats.put("callerConnections", transport.inboundConnections());
+        stats.put("callersClosedAsUnread", transport.closedAsUnread());
         stats.put("serverConnections", pools.connections());
         stats.put("suspendedServers", pools.suspendedCount());
         return stats;
--- a/entry/src/test/java/io/hornbeamfield/entry/traffic/FakeTransport.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/traffic/FakeTransport.java
@@ -261,6 +261,11 @@
         return 0;
     }
 
+    @Override
+    public int closedAsUnread() {
+        return 0;
+    }
+
     @Override
     public long unsentBytes() {
         return 0;
--- a/net/src/main/java/io/hornbeamfield/net/relay/RelayTransport.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/RelayTransport.java
@@ -15,27 +15,31 @@
  */
 public interface RelayTransport extends AutoCloseable {
     /** Leaves room for the copies that are made while bodies grow. */
-    long INPUT_PER_HEAP = 8;
+    long BYTES_PER_HEAP = 8;
 
-    /** Starts a transport whose thread has the given name and that keeps at most an eighth of the heap of input. */
+    /**
+     * Starts a transport whose thread has the given name and that keeps at most an eighth of the heap of input, and as
+     * much of unsent answers.
+     */
     static RelayTransport start(String name, Serial serial) {
-        return start(name, serial, Runtime.getRuntime().maxMemory() / INPUT_PER_HEAP);
+        return start(name, serial, Runtime.getRuntime().maxMemory() / BYTES_PER_HEAP);
     }
 
     /**
      * Starts a transport whose thread has the given name.
      *
-     * @param maxInputBytes bytes of the requests and of the heads of responses that are kept at the same time; beyond
-     *     that the largest of those that are not complete are ended, requests with status 503 after their heads
+     * @param maxBytes bytes of the requests and of the heads of responses that are kept at the same time; beyond that
+     *     the largest of those that are not complete are ended, requests with status 503 after their heads. As many
+     *     bytes of answers may be unsent; beyond that the connections with the most are closed.
      */
-    static RelayTransport start(String name, Serial serial, long maxInputBytes) {
-        return GrizzlyRelayTransport.start(name, serial, maxInputBytes, new TransferredBytes());
+    static RelayTransport start(String name, Serial serial, long maxBytes) {
+        return GrizzlyRelayTransport.start(name, serial, maxBytes, new TransferredBytes());
     }
 
     /** Starts a transport whose thread has the given name and that counts the bytes that it transfers. */
     static RelayTransport start(String name, Serial serial, TransferredBytes transferred) {
         return GrizzlyRelayTransport.start(
-                name, serial, Runtime.getRuntime().maxMemory() / INPUT_PER_HEAP, transferred);
+                name, serial, Runtime.getRuntime().maxMemory() / BYTES_PER_HEAP, transferred);
     }
 
     /** Accepts connections at {@code ip:port}; port 0 selects a free port. Returns the bound port. */
@@ -53,6 +57,9 @@
     /** Returns the number of response bytes that are queued but not yet written to the sockets of clients. */
     long unsentBytes();
 
+    /** Returns the number of connections that were closed because too much of their answers was unsent. */
+    int closedAsUnread();
+
     /** Runs an action after the input that has arrived so far has been handled. Requires a listening socket. */
     void afterPendingInput(Runnable action);
 
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyInboundRequest.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyInboundRequest.java
@@ -327,7 +327,7 @@
             return;
         }
         int bytes = length + FRAMING_BYTES;
-        unsent.addAndGet(bytes);
+        state.queued(bytes);
         // A write fails only if the connection is closed, which handleClose reports.
         Writes.write(connection, content, () -> written(bytes), failure -> written(bytes));
     }
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyRelayTransport.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/GrizzlyRelayTransport.java
@@ -44,6 +44,7 @@
     private final InputSelector selector;
     private final InboundConnections inbound = new InboundConnections();
     private final BufferPool input;
+    private final UnsentAnswers unsentAnswers;
     private final TransferredBytes transferred;
     private final List<Connection<?>> listening = new CopyOnWriteArrayList<>();
     private final FilterChain clientChain;
@@ -53,13 +54,14 @@
             Serial serial,
             ArrivalEstimate estimate,
             InputSelector selector,
-            long maxInputBytes,
+            long maxBytes,
             TransferredBytes transferred) {
         this.transport = transport;
         this.serial = serial;
         this.estimate = estimate;
         this.selector = selector;
-        this.input = new BufferPool(maxInputBytes);
+        this.input = new BufferPool(maxBytes);
+        this.unsentAnswers = new UnsentAnswers(maxBytes);
         this.transferred = transferred;
         this.clientChain = FilterChainBuilder.stateless()
                 .add(new ReadFilter(transferred, serial, input, OutboundFilter::endExcessive))
@@ -69,8 +71,8 @@
                 .build();
     }
 
-    /** Starts a transport that keeps at most the given number of bytes of heads and requests. */
-    public static RelayTransport start(String name, Serial serial, long maxInputBytes, TransferredBytes transferred) {
+    /** Starts a transport that keeps at most the given number of bytes of heads and requests, and of unsent answers. */
+    public static RelayTransport start(String name, Serial serial, long maxBytes, TransferredBytes transferred) {
         ArrivalEstimate estimate = new ArrivalEstimate(MonotonicClock.start());
         InputSelector selector = new InputSelector(estimate);
         TCPNIOTransport transport = TCPNIOTransportBuilder.newInstance()
@@ -88,7 +90,7 @@
         } catch (IOException e) {
             throw new UncheckedIOException("Cannot start the relay transport " + name + ".", e);
         }
-        return new GrizzlyRelayTransport(transport, serial, estimate, selector, maxInputBytes, transferred);
+        return new GrizzlyRelayTransport(transport, serial, estimate, selector, maxBytes, transferred);
     }
 
     @Override
@@ -99,7 +101,7 @@
         InputSelector.Listening socket = selector.add();
         FilterChain chain = FilterChainBuilder.stateless()
                 .add(new ReadFilter(transferred, serial, input, Connection::terminateSilently))
-                .add(new InboundConnectionFilter(inbound, limits, serial, estimate, socket.backlog()))
+                .add(new InboundConnectionFilter(inbound, limits, serial, estimate, socket.backlog(), unsentAnswers))
                 .add(new RequestCodecFilter(ConnectionInput.MAX_HEADER_BYTES, keepAlive))
                 .add(new InboundFilter(serial, handler, inbound, limits, input))
                 .build();
@@ -153,6 +155,11 @@
         return inbound.size();
     }
 
+    @Override
+    public int closedAsUnread() {
+        return unsentAnswers.closedConnections();
+    }
+
     @Override
     public long unsentBytes() {
         return inbound.unsentBytes();
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundConnectionFilter.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundConnectionFilter.java
@@ -16,24 +16,28 @@
     private final Serial serial;
     private final ArrivalEstimate estimate;
     private final ArrivalEstimate.Backlog backlog;
+    private final UnsentAnswers unsentAnswers;
 
     InboundConnectionFilter(
             InboundConnections connections,
             Supplier<InboundLimits> limits,
             Serial serial,
             ArrivalEstimate estimate,
-            ArrivalEstimate.Backlog backlog) {
+            ArrivalEstimate.Backlog backlog,
+            UnsentAnswers unsentAnswers) {
         this.connections = connections;
         this.limits = limits;
         this.serial = serial;
         this.estimate = estimate;
         this.backlog = backlog;
+        this.unsentAnswers = unsentAnswers;
     }
 
     @Override
     public NextAction handleAccept(FilterChainContext ctx) {
         Connection<?> c = ctx.getConnection();
-        connections.add(c, new InboundState(c, limits, serial, estimate, backlog.accept()));
+        ArrivalEstimate.Accepted accepted = backlog.accept();
+        serial.run(() -> connections.add(c, new InboundState(c, limits, serial, estimate, accepted, unsentAnswers)));
         return ctx.getInvokeAction();
     }
 
--- a/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundState.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/internal/InboundState.java
@@ -35,6 +35,7 @@
     private final ArrivalEstimate.Accepted accepted;
     private final InputTimeout timeout = new InputTimeout(MonotonicClock.start());
     private final AtomicLong unsent = new AtomicLong();
+    private final UnsentAnswers.OfConnection unsentAnswers;
     /** Pipelined requests, which are answered after the current one. */
     private final Deque<GrizzlyInboundRequest> waiting = new ArrayDeque<>();
 
@@ -52,12 +53,14 @@
             Supplier<InboundLimits> limits,
             Serial serial,
             ArrivalEstimate estimate,
-            ArrivalEstimate.Accepted accepted) {
+            ArrivalEstimate.Accepted accepted,
+            UnsentAnswers unsentAnswers) {
         this.connection = connection;
         this.limits = limits;
         this.serial = serial;
         this.estimate = estimate;
         this.accepted = accepted;
+        this.unsentAnswers = unsentAnswers.add(this);
     }
 
     @Nullable
@@ -155,6 +158,7 @@
 
     /** Ends the current request and begins the next one, if there is one. */
     void requestFinished(Consumer<GrizzlyInboundRequest> begin) {
+        unsentAnswers.grown();
         current = null;
         timeout.headEnded();
         timeout.active();
@@ -184,6 +188,7 @@
 
     /** Reports to all requests that the connection has been closed. */
     void connectionClosed() {
+        unsentAnswers.remove();
         discardInput();
         GrizzlyInboundRequest request = current;
         if (request != null) {
@@ -191,6 +196,18 @@
         }
     }
 
+    /** Closes the connection without its unsent bytes. */
+    void terminate() {
+        connection.terminateSilently();
+    }
+
+    /** Records bytes of a response that are queued. Callable from any thread. */
+    void queued(int bytes) {
+        if (unsent.getAndAdd(bytes) == 0) {
+            unsentAnswers.begun();
+        }
+    }
+
     /** Returns the number of response bytes that are queued but not yet written to the socket. */
     AtomicLong unsent() {
         return unsent;
