Search the orders of events with streams that the store keeps

The search of the origins of streams did not contain the store's copy of them, so that it could not show what an instance that survives has to read. It has two more events: an instance keeps the stream in the store, and the other one reads what is kept.

--- a/core/src/test/java/io/hornbeamfield/core/stream/OriginSearchTest.java
+++ b/core/src/test/java/io/hornbeamfield/core/stream/OriginSearchTest.java
@@ -37,6 +37,7 @@
         X_BEGINS_WITH_A,
         X_BEGINS_WITH_B,
         Y_IS_TOLD,
+        X_KEEPS_THE_STREAM,
         X_IS_KILLED,
         Y_IS_KILLED,
         Y_IS_CUT_OFF,
@@ -44,6 +45,7 @@
         TAKE_UP_AT_Y,
         X_ANSWERS,
         Y_READS_THE_RECORD,
+        Y_READS_THE_KEPT_STREAMS,
         TIMEOUT
     }
 
@@ -86,6 +88,10 @@
         private @Nullable OriginLookup lookup;
         private boolean answered;
         private boolean read;
+        /** Whether neither instance remembered the stream when X answered. */
+        private boolean forgotten;
+
+        private Optional<StreamOrigin> kept = Optional.empty();
 
         World(boolean recordsBeforeUse) {
             this.recordsBeforeUse = recordsBeforeUse;
@@ -132,6 +138,7 @@
                 case X_WRITES_WITHOUT_ANSWER -> write(x, false);
                 case X_BEGINS_WITH_A -> begin(A);
                 case X_BEGINS_WITH_B -> begin(B);
+                case X_KEEPS_THE_STREAM -> kept = x.records.find(STREAM).or(() -> kept);
                 case X_IS_KILLED -> x.restart();
                 case Y_IS_KILLED -> {
                     if (l == null) {
@@ -146,7 +153,12 @@
                         l.timedOut();
                     }
                 }
-                case Y_READS_REGISTRATIONS, Y_WRITES, Y_IS_TOLD, X_ANSWERS, Y_READS_THE_RECORD -> {
+                case Y_READS_REGISTRATIONS,
+                        Y_WRITES,
+                        Y_IS_TOLD,
+                        X_ANSWERS,
+                        Y_READS_THE_RECORD,
+                        Y_READS_THE_KEPT_STREAMS -> {
                     if (!cut) {
                         applyAtY(e);
                     }
@@ -163,8 +175,12 @@
                 write(y, true);
             } else if (e == Event.Y_IS_TOLD) {
                 x.records.find(STREAM).ifPresent(o -> y.records.add(STREAM, o));
+            } else if (e == Event.Y_READS_THE_KEPT_STREAMS) {
+                readKept();
             } else if (l != null && e == Event.X_ANSWERS && !answered) {
                 answered = true;
+                forgotten = x.records.find(STREAM).isEmpty()
+                        && y.records.find(STREAM).isEmpty();
                 l.instanceAnswered("X", x.records.find(STREAM));
             } else if (l != null && e == Event.Y_READS_THE_RECORD && !read) {
                 read = true;
@@ -173,6 +189,15 @@
             }
         }
 
+        private void readKept() {
+            kept.ifPresent(o -> y.records.add(STREAM, o));
+            OriginLookup l = lookup;
+            if (l != null) {
+                l.asked("store");
+                l.instanceAnswered("store", y.records.find(STREAM));
+            }
+        }
+
         Optional<OriginLookup.Result> result() {
             return lookup == null ? Optional.empty() : lookup.result();
         }
@@ -187,7 +212,7 @@
 
         String state() {
             return registrations + "|" + record + "|" + x.state() + "|" + y.state() + "|" + cut + begun + answered
-                    + read + (lookup != null) + result();
+                    + read + forgotten + kept + (lookup != null) + result();
         }
     }
 
@@ -247,6 +272,18 @@
                 .isPresent();
     }
 
+    /** Guards against an instance that reads only before a take-up what the others have kept in the store. */
+    @Test
+    void aStreamGoesOnIfItsInstanceWasKilledUntoldAndTheStoreIsReadAfterTheTakeUp() {
+        assertThat(search(
+                        w -> isKnown(w)
+                                && w.forgotten
+                                && !w.read
+                                && w.record.of(SERVICE).size() == 2,
+                        true))
+                .hasValueSatisfying(events -> assertThat(events).endsWith(Event.Y_READS_THE_KEPT_STREAMS));
+    }
+
     @Test
     void aStreamOfWhichNobodyKnowsAnythingIsRefused() {
         assertThat(search(
