Answer requests that offer another protocol at the router too

The JDK's HTTP client offers h2c with its first request by default, and the router never answered it: Grizzly takes what follows such a head for the other protocol.

RequestCodec replaces that codec and ignores the offer. It holds for all addresses that the router's HTTP server listens on.

HttpTest and EndlessBodyTest pass.

--- a/net/src/main/java/io/hornbeamfield/net/http/internal/GrizzlyHttpServer.java
+++ b/net/src/main/java/io/hornbeamfield/net/http/internal/GrizzlyHttpServer.java
@@ -50,6 +50,7 @@
         // No idle timeout: a stream may send nothing for longer than any fixed limit.
         listener.getKeepAlive().setIdleTimeoutInSeconds(-1);
         listener.getKeepAlive().setMaxRequestsCount(-1);
+        listener.registerAddOn(RequestCodec::install);
         listener.registerAddOn((l, filters) -> filters.add(1, HeldInput.filter()));
         org.glassfish.grizzly.http.server.HttpServer server = new org.glassfish.grizzly.http.server.HttpServer();
         server.addListener(listener);
