--- a/net/src/main/java/io/hornbeamfield/net/relay/RelayTransport.java
+++ b/net/src/main/java/io/hornbeamfield/net/relay/RelayTransport.java
@@ -30,7 +30,7 @@
      *
      * @param maxBytes bytes of the requests and of the heads of responses that are kept at the same time; beyond that
      *     the largest of those that are not complete are ended, requests with status 503 after their heads. As many
-     *     bytes of answers may be unsent; beyond that the connections with the most are closed.
+     *     bytes of answers may be unsent; beyond that the connections on which most has waited longest are closed.
      */
     static RelayTransport start(String name, Serial serial, long maxBytes) {
         return GrizzlyRelayTransport.start(name, serial, maxBytes, new TransferredBytes());
