Wait for the list of instances before a test uses up retries

Cause: the test sends six requests within the first half second of an instance. Until the instance has read the list of instances, it allows itself the share of one of eight: 0.8 * (0.2 * 6 + 50 / 8), five retries. If all six requests are sent to the declining server first, as one run in 64 does, the sixth is refused. The test waited for the servers only.

The test now also waits until the list has been read. What it asserts is unchanged. The product is not changed: the smaller share is what Blackboard.ASSUMED_INSTANCES is for.

--- a/entry/src/test/java/io/hornbeamfield/entry/EntryRelayTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/EntryRelayTest.java
@@ -159,6 +159,8 @@
         fleet.startReady();
         EntryFixture.await(
                 () -> fleet.entries.get(0).blackboard().servers("plain").size() == 2);
+        // Until then, the instance allows itself no more than a small part of the fleet's retries.
+        EntryFixture.await(() -> fleet.entries.get(0).blackboard().membersKnown());
         // Servers are chosen at random among equals.
         for (int i = 0; i < 6 || (i < 60 && first.receivedRequests().isEmpty()); i++) {
             assertThat(fleet.call("POST", "/write/x").all()).contains("done by i-2");
