Show each take-up case of two versions failing without its limit

The cases of StreamsOfTwoVersionsTest told by counts of requests whether a stream had gone on at its version. Some could not fail without the limit of servers on a take-up: the case of another instance ended at the same instance first, and where both versions were there from the start, streams began and went on at the server with the least id anyway.

The events of the servers now name their version, and each case compares the version of the continuation with that of the beginning. Cases with two versions begin a stream at the old one and then add a server of the new one that an unlimited choice would take. The take-up at the same and at another instance are two cases, and the take-up at an instance that has just started is a new one.

--- a/entry/src/test/java/io/hornbeamfield/entry/StreamsOfTwoVersionsTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/StreamsOfTwoVersionsTest.java
@@ -6,6 +6,7 @@
 import io.hornbeamfield.net.relay.InboundRequest;
 import io.hornbeamfield.platform.standin.FakeBackendServer;
 import io.hornbeamfield.platform.standin.FakeStore;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -30,23 +31,37 @@
         fleet.close();
     }
 
-    /** Starts a server that breaks new streams off after their first event and ends those that go on. */
+    /** A stream that broke off, and the version of the server that began it. */
+    private record Begun(String attempt, String version) {}
+
+    /**
+     * Starts a server that breaks new streams off after their first event and ends those that go on. Its events name
+     * its version. Among idle servers, new streams go to the one with the least id.
+     */
     private FakeBackendServer server(String id, String version) {
         FakeBackendServer server = fleet.versionedRunner(id, "model", version);
         server.respondWith(r -> {
             String last = r.header("Last-Event-Id");
             r.start(200, FakeBackendServer.signedHeaders(r));
             if (last == null) {
-                r.write(FakeBackendServer.event(1));
+                r.write(event(1, version));
                 new Thread(() -> cutSoon(r)).start();
             } else {
-                r.write(FakeBackendServer.event(Long.parseLong(last) + 1));
+                r.write(event(Long.parseLong(last) + 1, version));
                 r.end();
             }
         });
         return server;
     }
 
+    private static byte[] event(long number, String version) {
+        return ("id: " + number + "\ndata: " + piece(number, version) + "\n\n").getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static String piece(long number, String version) {
+        return "piece " + number + " by <" + version + ">";
+    }
+
     private static void cutSoon(InboundRequest r) {
         try {
             Thread.sleep(50);
@@ -67,28 +82,46 @@
                 .all());
     }
 
-    /** Begins a stream that breaks off, and returns the id of its attempt. */
-    private String begin(int entry) {
+    private Begun begin(int entry) {
         ReceivedAnswer begun = send(entry, "key-1");
         assertThat(begun.body()).contains("piece 1").doesNotContain("piece 2");
         assertThat(begun.complete()).isFalse();
-        return "try-" + attempts.get();
+        String version = begun.body().substring(begun.body().indexOf('<') + 1, begun.body().indexOf('>'));
+        return new Begun("try-" + attempts.get(), version);
+    }
+
+    /** Begins streams until one is of the given version. */
+    private Begun begin(int entry, String version) {
+        Begun begun = begin(entry);
+        for (int i = 1; i < TAKE_UPS && !begun.version().equals(version); i++) {
+            begun = begin(entry);
+        }
+        assertThat(begun.version()).isEqualTo(version);
+        return begun;
+    }
+
+    private ReceivedAnswer takeUp(int entry, Begun begun) {
+        return takeUp(entry, begun.attempt());
     }
 
     private ReceivedAnswer takeUp(int entry, String attempt) {
         return send(entry, "key-1", "Resumes: " + attempt, "Last-Event-Id: 1");
     }
 
-    private static long resumed(FakeBackendServer server) {
-        return server.receivedRequests().stream()
-                .filter(r -> r.header("Last-Event-Id") != null)
-                .count();
+    private void assertGoesOnAt(int entry, Begun begun) {
+        assertGoesOn(takeUp(entry, begun), begun);
     }
 
-    private void assertGoesOn(ReceivedAnswer answer) {
+    private static void assertGoesOn(ReceivedAnswer answer, Begun begun) {
         assertThat(answer.status()).isEqualTo(200);
         assertThat(answer.complete()).isTrue();
-        assertThat(answer.body()).contains("piece 2");
+        assertThat(answer.body()).contains(piece(2, begun.version()));
+    }
+
+    private static long resumed(FakeBackendServer server) {
+        return server.receivedRequests().stream()
+                .filter(r -> r.header("Last-Event-Id") != null)
+                .count();
     }
 
     private static void assertRefused(ReceivedAnswer answer, int code) {
@@ -158,51 +191,64 @@
         assertThat(resumed(old) + resumed(other)).isZero();
     }
 
-    @Test
-    void aStreamThatIsTakenUpAtAnotherInstanceGoesOnAtItsVersion() {
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1})
+    void aStreamThatIsTakenUpGoesOnAtItsVersionAtEachInstance(int instance) {
         FakeBackendServer old = server("i-8", OLD);
         startTwo();
-        String attempt = begin(0);
+        Begun begun = begin(0);
         FakeBackendServer other = server("i-1", NEW);
         FakeBackendServer another = server("i-2", NEW);
         awaitServers(3);
         for (int i = 0; i < TAKE_UPS; i++) {
-            assertGoesOn(takeUp(i % 2, attempt));
+            assertGoesOnAt(instance, begun);
         }
         assertThat(resumed(old)).isEqualTo(TAKE_UPS);
         assertThat(resumed(other) + resumed(another)).isZero();
     }
 
+    @Test
+    void aStreamGoesOnAtItsVersionAtAnInstanceThatHasJustStarted() {
+        server("i-1", OLD);
+        server("i-8", NEW);
+        startTwo();
+        awaitServers(2);
+        Begun begun = begin(0, OLD);
+        server("i-0", NEW);
+        fleet.startReady();
+        awaitServers(3);
+        assertGoesOnAt(2, begun);
+        assertRefused(takeUp(2, "forged"), 3009);
+    }
+
     /** Waits until the instances are linked, so that a stream of one is known to the other within a short time. */
     private void awaitThatTheOtherInstanceIsTold() {
         EntryFixture.await(() -> takeUp(1, begin(0)).status() == 200);
     }
 
     @Test
-    void aStreamGoesOnAfterItsInstanceWasLostAlsoWhileTheStoreIsSilent() throws InterruptedException {
-        server("i-8", OLD);
-        FakeBackendServer other = server("i-1", NEW);
+    void aStreamGoesOnAtItsVersionAfterItsInstanceWasLostAlsoWhileTheStoreIsSilent() throws InterruptedException {
+        server("i-1", OLD);
+        server("i-8", NEW);
         startTwo();
         awaitServers(2);
         awaitThatTheOtherInstanceIsTold();
-        long before = other.receivedRequests().size();
-        String attempt = begin(0);
-        boolean begunByOther = other.receivedRequests().size() > before;
+        Begun begun = begin(0, OLD);
+        server("i-0", NEW);
+        awaitServers(3);
         // The other instance is told within this time.
         Thread.sleep(500);
         fleet.entries.get(0).close();
         fleet.store.mode(FakeStore.Mode.SILENT);
-        long resumedByOther = resumed(other);
-        assertGoesOn(takeUp(1, attempt));
-        assertThat(resumed(other) > resumedByOther).isEqualTo(begunByOther);
+        assertGoesOnAt(1, begun);
     }
 
     @Test
     void afterAKillOfAllAStreamGoesOnIfOneVersionServes() {
         FakeBackendServer old = server("i-8", OLD);
         startTwo();
-        String attempt = begin(0);
-        assertGoesOn(takeUp(killAllAndStartOne(), attempt));
+        Begun begun = begin(0);
+        assertGoesOnAt(killAllAndStartOne(), begun);
         assertThat(resumed(old)).isEqualTo(1);
     }
 
@@ -211,45 +257,43 @@
      */
     @Test
     void afterAKillOfAllAmongTwoVersionsAStreamGoesOnAtItsVersion() throws InterruptedException {
-        FakeBackendServer old = server("i-8", OLD);
-        FakeBackendServer other = server("i-1", NEW);
+        server("i-1", OLD);
+        server("i-8", NEW);
         startTwo();
         awaitServers(2);
         awaitThatTheOtherInstanceIsTold();
-        long before = other.receivedRequests().size();
-        String attempt = begin(1);
-        boolean begunByOther = other.receivedRequests().size() > before;
+        Begun begun = begin(1, OLD);
         // The store is told within this time.
         Thread.sleep(1_500);
-        long resumedByOld = resumed(old);
-        long resumedByOther = resumed(other);
+        server("i-0", NEW);
+        awaitServers(3);
         int started = killAllAndStartOne();
-        assertGoesOn(takeUp(started, attempt));
-        assertThat(resumed(other) - resumedByOther).isEqualTo(begunByOther ? 1 : 0);
-        assertThat(resumed(old) - resumedByOld).isEqualTo(begunByOther ? 0 : 1);
+        assertGoesOnAt(started, begun);
         assertRefused(takeUp(started, "forged"), 3009);
     }
 
     /** Guards against an instance that reads only at its start what the others have kept in the store. */
     @Test
     void aStreamGoesOnAtAnInstanceThatDidNotKnowItAfterAllOthersWereLost() throws InterruptedException {
-        server("i-8", OLD);
-        server("i-1", NEW);
+        server("i-1", OLD);
+        server("i-8", NEW);
         start(4);
-        List<String> begun = beginSeveral();
+        List<Begun> begun = beginSeveral();
         fleet.entries.subList(0, 3).forEach(EntryProcess::close);
-        begun.forEach(attempt -> assertGoesOn(takeUp(3, attempt)));
+        begun.forEach(stream -> assertGoesOnAt(3, stream));
         assertRefused(takeUp(3, "forged"), 3009);
     }
 
-    /** Begins streams at the first instance that the store keeps too. */
-    private List<String> beginSeveral() throws InterruptedException {
+    /** Begins streams of the old version at the first instance that the store keeps too. */
+    private List<Begun> beginSeveral() throws InterruptedException {
         awaitServers(2);
         awaitThatTheOtherInstanceIsTold();
-        List<String> begun = new ArrayList<>();
+        List<Begun> begun = new ArrayList<>();
         for (int i = 0; i < TAKE_UPS; i++) {
-            begun.add(begin(0));
+            begun.add(begin(0, OLD));
         }
+        server("i-0", NEW);
+        awaitServers(3);
         // The store is told within this time.
         Thread.sleep(1_500);
         return begun;
@@ -257,8 +301,8 @@
 
     @Test
     void aStreamGoesOnAtAnInstanceThatDidNotKnowItWhileAllOthersAreSilent() throws InterruptedException {
-        server("i-8", OLD);
-        server("i-1", NEW);
+        server("i-1", OLD);
+        server("i-8", NEW);
         CountDownLatch heldUp = new CountDownLatch(3);
         CountDownLatch released = new CountDownLatch(1);
         start(4, new ObservedLog(line -> {
@@ -267,11 +311,11 @@
                 awaitUninterrupted(released);
             }
         }));
-        List<String> begun = beginSeveral();
+        List<Begun> begun = beginSeveral();
         fleet.versionedRunner("i-held-up", "plain", "");
         awaitUninterrupted(heldUp);
         try {
-            begun.forEach(attempt -> assertGoesOn(takeUp(3, attempt)));
+            begun.forEach(stream -> assertGoesOnAt(3, stream));
         } finally {
             released.countDown();
         }
@@ -290,7 +334,7 @@
     void afterAKillOfAllAStreamOfAVersionThatHasLeftIsRefusedAndANewOneBegins(boolean kept) {
         server("i-8", OLD);
         startTwo();
-        String attempt = begin(0);
+        Begun begun = begin(0);
         FakeBackendServer other = server("i-1", NEW);
         awaitServers(2);
         fleet.store.remove("servers", "i-8");
@@ -302,7 +346,7 @@
             fleet.store.remove("stream-origins", "entry-0.1");
         }
         int started = killAllAndStartOne();
-        assertRefused(takeUp(started, attempt), kept ? 3004 : 3009);
+        assertRefused(takeUp(started, begun), kept ? 3004 : 3009);
         assertThat(resumed(other)).isZero();
         begin(started);
     }
@@ -311,20 +355,20 @@
     void aStreamOfAVersionWithoutServersIsRefusedAtOnceAndServedLater() {
         server("i-8", OLD);
         startTwo();
-        String attempt = begin(0);
+        Begun begun = begin(0);
         FakeBackendServer other = server("i-1", NEW);
         awaitServers(2);
         fleet.store.remove("servers", "i-8");
         awaitServers(1);
         long startNs = System.nanoTime();
-        ReceivedAnswer refused = takeUp(1, attempt);
+        ReceivedAnswer refused = takeUp(1, begun);
         assertThat(System.nanoTime() - startNs).isLessThan(1_000_000_000L);
         assertRefused(refused, 3004);
         assertThat(Header.find(refused.headers(), "Retry-After")).isPresent();
         assertThat(resumed(other)).isZero();
         FakeBackendServer again = server("i-9", OLD);
         awaitServers(2);
-        assertGoesOn(takeUp(1, attempt));
+        assertGoesOnAt(1, begun);
         assertThat(resumed(again)).isEqualTo(1);
     }
 
@@ -332,15 +376,15 @@
     void aServerThatReturnsUnderItsIdWithAnotherVersionGetsNoStreamOfItsEarlierOne() {
         FakeBackendServer server = server("i-8", OLD);
         startTwo();
-        String attempt = begin(0);
+        Begun begun = begin(0);
         server.version(NEW);
         server.register(fleet.store, false);
         EntryFixture.await(() -> fleet.entries.stream()
                 .allMatch(e -> e.blackboard().servers("model").get(0).version().equals(NEW)
                         && e.blackboard()
                                 .mayBeginStream(e.blackboard().servers("model").get(0))));
-        assertRefused(takeUp(0, attempt), 3004);
-        assertRefused(takeUp(1, attempt), 3004);
+        assertRefused(takeUp(0, begun), 3004);
+        assertRefused(takeUp(1, begun), 3004);
         assertThat(resumed(server)).isZero();
     }
 
@@ -351,9 +395,9 @@
         fleet.store.put("config", "main", fleet.configOfTwoWorkspaces(1));
         fleet.startReady();
         awaitServers(2);
-        String attempt = begin(0);
-        assertGoesOn(takeUp(0, attempt));
-        assertRefused(send(0, "key-2", "Resumes: " + attempt, "Last-Event-Id: 1"), 3009);
+        Begun begun = begin(0);
+        assertGoesOnAt(0, begun);
+        assertRefused(send(0, "key-2", "Resumes: " + begun.attempt(), "Last-Event-Id: 1"), 3009);
         assertRefused(takeUp(0, "forged"), 3009);
         assertRefused(send(0, "key-1", "Last-Event-Id: 1"), 3009);
         assertRefused(send(0, "key-1", "Resumes: " + "x".repeat(10_000), "Last-Event-Id: 1"), 3009);
@@ -363,22 +407,22 @@
     void aRecordOfVersionsThatWasDeletedIsWrittenAgain() {
         server("i-8", OLD);
         startTwo();
-        String attempt = begin(0);
+        Begun begun = begin(0);
         fleet.store.remove("stream-versions", "record");
         assertRefused(takeUp(1, "forged"), 3009);
         EntryFixture.await(
                 () -> !fleet.store.content("stream-versions", "record").isMissingNode());
-        assertGoesOn(takeUp(killAllAndStartOne(), attempt));
+        assertGoesOnAt(killAllAndStartOne(), begun);
     }
 
     @Test
     void aFleetWhoseServersNameNoVersionResumesAsBefore() {
         FakeBackendServer server = server("i-1", "");
         startTwo();
-        String attempt = begin(0);
+        Begun begun = begin(0);
         int started = killAllAndStartOne();
-        assertGoesOn(takeUp(started, attempt));
-        assertGoesOn(send(started, "key-1", "Last-Event-Id: 1"));
+        assertGoesOnAt(started, begun);
+        assertGoesOn(send(started, "key-1", "Last-Event-Id: 1"), begun);
         assertThat(resumed(server)).isEqualTo(2);
     }
 }
