Count a revision of the store only within its era

When the store comes back from an older copy, it gives revisions out again. Instances watched from a revision of before: as soon as the store had passed that number, the watch was accepted and missed what had been written below it. Callers could get answers by a configuration that was never replaced, and a server that had registered meanwhile got no request. A conditional write could replace content that its writer had not read, and crash reports were ignored until the numbers had caught up.

Instances log store-restored, list again, and write crash evidence again that the copy lacks.

--- a/entry/src/main/java/io/hornbeamfield/entry/control/BackendController.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/BackendController.java
@@ -46,7 +46,7 @@
         directory.replaceAll(servers);
         log.event("servers-listed")
                 .field("count", servers.size())
-                .field("revision", list.revision())
+                .field("revision", list.revision().number())
                 .write();
         publish();
     }
@@ -62,7 +62,7 @@
     public void onChange(WatchResult.Change change) {
         Optional<BackendServer> server = change.removed() ? Optional.empty() : BackendDecoder.decode(change.object());
         if (server.isPresent()) {
-            putChanged(server.get(), change.object().revision());
+            putChanged(server.get(), change.object().revision().number());
         } else {
             boolean kept = directory.remove(change.object().name());
             log.event("server-removed")
@@ -108,7 +108,7 @@
         if (!dropped.isEmpty()) {
             log.event("servers-dropped")
                     .field("servers", String.join(",", dropped))
-                    .field("revision", list.revision())
+                    .field("revision", list.revision().number())
                     .write();
             publish();
         }
--- a/entry/src/main/java/io/hornbeamfield/entry/control/ConfigController.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/ConfigController.java
@@ -64,7 +64,7 @@
             next = ConfigDecoder.decode(object.content());
         } catch (IllegalArgumentException e) {
             log.event("config-rejected")
-                    .field("revision", object.revision())
+                    .field("revision", object.revision().number())
                     .field("reason", String.valueOf(e.getMessage()))
                     .write();
             return;
@@ -75,7 +75,7 @@
             blackboard.config(next);
             log.event("config-adopted")
                     .field("version", next.version())
-                    .field("revision", object.revision())
+                    .field("revision", object.revision().number())
                     .field("by", source)
                     .field("sinceLastAnswerMs", answerGapMs)
                     .write();
--- a/entry/src/main/java/io/hornbeamfield/entry/control/ControlPlane.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/ControlPlane.java
@@ -91,6 +91,7 @@
         this.executor = executor;
         delays = new DelayLog(clock, log, "control");
         StoreClient store = storeClient(settings, http, storeCalls);
+        store.onNewEra(era -> log.event("store-restored").field("era", era).write());
         prepaid = new PrepaidController(
                 store, clock, executor, book, log, isEarlierIncarnation(settings, book), tokenListener);
         BooleanSupplier largeFleet = () -> CheckedInstances.isLargeFleet(blackboard.instanceCount() - 1);
--- a/entry/src/main/java/io/hornbeamfield/entry/control/CrashController.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/CrashController.java
@@ -5,6 +5,7 @@
 import io.hornbeamfield.core.quarantine.CrashJournal;
 import io.hornbeamfield.core.quarantine.PartActivity;
 import io.hornbeamfield.core.quarantine.Quarantine;
+import io.hornbeamfield.core.store.StoreRevision;
 import io.hornbeamfield.entry.Blackboard;
 import io.hornbeamfield.entry.EventLog;
 import io.hornbeamfield.net.json.Json;
@@ -75,8 +76,8 @@
     private Optional<Map<String, StoreObject>> watched = Optional.empty();
 
     private CrashEvidence written = CrashEvidence.none();
-    private long writtenRevision = -1;
-    private long readRevision = -1;
+    private StoreRevision writtenRevision = StoreRevision.NONE;
+    private StoreRevision readRevision = StoreRevision.NONE;
     private long readMs;
     private long lastCrashMs;
     private int crashesKnown;
@@ -133,7 +134,7 @@
                     objects.put(change.object().name(), change.object());
                 }
             }
-            readRevision = Math.max(readRevision, c.revision());
+            readRevision = c.revision().isAtLeast(readRevision) ? c.revision() : readRevision;
             readMs = clock.millis();
             try {
                 apply(new StoreList(List.copyOf(objects.values()), readRevision));
@@ -160,7 +161,7 @@
                 log.event("crashes-unread")
                         .field("reason", String.valueOf(failure))
                         .write();
-            } else if (list.revision() >= readRevision) {
+            } else if (list.revision().isAtLeast(readRevision)) {
                 readRevision = list.revision();
                 readMs = clock.millis();
                 if (watchNext) {
@@ -190,12 +191,21 @@
             }
         }
         restored = true;
-        boolean lifted = !ownListed && writtenRevision >= 0 && list.revision() >= writtenRevision;
+        boolean wasWritten = !writtenRevision.equals(StoreRevision.NONE);
+        if (wasWritten && !list.revision().isOfGenerationOf(writtenRevision)) {
+            // The store has come back from an older copy, which lacks the evidence or holds less of it.
+            written = CrashEvidence.none();
+            writtenRevision = StoreRevision.NONE;
+            wasWritten = false;
+        }
+        boolean lifted = !ownListed && wasWritten && list.revision().isAtLeast(writtenRevision);
         if (lifted) {
-            log.event("crashes-removed").field("revision", list.revision()).write();
+            log.event("crashes-removed")
+                    .field("revision", list.revision().number())
+                    .write();
             journal.forgetOwn();
             written = CrashEvidence.none();
-            writtenRevision = -1;
+            writtenRevision = StoreRevision.NONE;
         }
         journal.othersReported(others);
         assess();
@@ -260,7 +270,7 @@
             log.event("quarantine")
                     .field("parts", describe(next))
                     .field("crashes", crashesKnown)
-                    .field("revision", readRevision)
+                    .field("revision", readRevision.number())
                     .field("ageMs", clock.millis() - readMs)
                     .write();
             onQuarantineChanged.run();
--- a/entry/src/main/java/io/hornbeamfield/entry/control/EvacuationController.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/EvacuationController.java
@@ -28,7 +28,7 @@
     public void onList(StoreList list) {
         evacuations.replaceAll(list.objects().stream().map(StoreObject::name).toList());
         list.objects().forEach(this::logOddities);
-        publish(list.revision());
+        publish(list.revision().number());
     }
 
     @Override
@@ -40,7 +40,7 @@
             evacuations.begin(object.name());
             logOddities(object);
         }
-        publish(object.revision());
+        publish(object.revision().number());
     }
 
     private void publish(long revision) {
@@ -74,7 +74,7 @@
         } else if (EvacuationDecoder.hasUndefinedContent(object)) {
             log.event("evacuation-content")
                     .field("zone", object.name())
-                    .field("revision", object.revision())
+                    .field("revision", object.revision().number())
                     .field("reason", "the content should be {}; the zone is evacuated until the object is removed")
                     .write();
         }
--- a/entry/src/main/java/io/hornbeamfield/entry/control/MembershipController.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/MembershipController.java
@@ -6,6 +6,7 @@
 import io.hornbeamfield.core.discovery.InstanceLoads;
 import io.hornbeamfield.core.discovery.RecentReadiness;
 import io.hornbeamfield.core.prepaid.LedgerWriters;
+import io.hornbeamfield.core.store.StoreRevision;
 import io.hornbeamfield.entry.Blackboard;
 import io.hornbeamfield.entry.Blackboard.Member;
 import io.hornbeamfield.entry.EventLog;
@@ -57,7 +58,7 @@
     private final LoadSharing sharing;
     private final InstanceLoads loads;
     private final Map<String, Member> registered = new HashMap<>();
-    private final Map<String, Long> revisions = new HashMap<>();
+    private final Map<String, StoreRevision> revisions = new HashMap<>();
     private final Map<String, Integer> consecutiveFailures = new HashMap<>();
     private final Set<String> notReady = new HashSet<>();
     private Set<String> writers = Set.of();
@@ -164,19 +165,19 @@
 
     /** Removes the registration of this instance in a large fleet, where most others rely on it alone. */
     void unregisterSelf() {
-        Long revision = revisions.get(self.name());
+        StoreRevision revision = revisions.get(self.name());
         if (revision != null && CheckedInstances.isLargeFleet(registered.size() - 1)) {
             unregister(self, revision, "leaving");
         }
     }
 
-    private void unregister(Member member, long revision, String reason) {
+    private void unregister(Member member, StoreRevision revision, String reason) {
         store.delete(KIND, member.name(), revision)
                 .whenCompleteAsync(
                         (reply, failure) -> log.event("unregistered")
                                 .field("member", member.name())
                                 .field("reason", reason)
-                                .field("revision", revision)
+                                .field("revision", revision.number())
                                 .field("outcome", reply == null ? String.valueOf(failure) : reply.toString())
                                 .write(),
                         control);
@@ -271,7 +272,7 @@
 
     /** Removes a registration at most once per list: its revision is forgotten until the next list. */
     private void unregisterSilent(Member member) {
-        Long revision = revisions.remove(member.name());
+        StoreRevision revision = revisions.remove(member.name());
         if (revision != null) {
             unregister(member, revision, "silent");
         }
--- a/entry/src/main/java/io/hornbeamfield/entry/control/PrepaidController.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/PrepaidController.java
@@ -241,7 +241,7 @@
     private void write(StoreObject object) {
         PrepaidLedger ledger = decodeLedger(object);
         Collection<EndedHolder> ended = peers().witnesses().endedHolders(ledger);
-        Optional<PrepaidLedger> next = book.planWrite(ledger, object.revision(), ended);
+        Optional<PrepaidLedger> next = book.planWrite(ledger, object.revision().number(), ended);
         if (next.isEmpty()) {
             writeInProgress = false;
             tokenListener.holdingsChanged();
@@ -250,7 +250,7 @@
         for (EndedHolder e : ended) {
             log.event("prepaid-freed")
                     .field("holder", e.holder())
-                    .field("revision", object.revision())
+                    .field("revision", object.revision().number())
                     .write();
         }
         store.replace(KIND, NAME, object.revision(), Json.tree(next.get())).whenCompleteAsync(this::onWritten, control);
@@ -262,7 +262,7 @@
             ledgerAbsent = false;
             observe(s.object());
             log.event("prepaid-written")
-                    .field("revision", s.object().revision())
+                    .field("revision", s.object().revision().number())
                     .field("totalUntakenHeld", book.summary())
                     .write();
             backoff.afterWrite();
@@ -313,14 +313,14 @@
         } catch (UncheckedIOException e) {
             lastObserved = null;
             log.event("prepaid-ledger-unreadable")
-                    .field("revision", object.revision())
+                    .field("revision", object.revision().number())
                     .field("reason", String.valueOf(e.getMessage()))
                     .write();
             return;
         }
         lastObserved = object;
         observedAtMs = clock.millis();
-        book.applyLedger(ledger, object.revision());
+        book.applyLedger(ledger, object.revision().number());
     }
 
     private static PrepaidLedger decodeLedger(StoreObject object) {
@@ -335,7 +335,8 @@
             return;
         }
         writeInProgress = true;
-        PrepaidLedger next = book.planFullReturn(decodeLedger(object), object.revision());
+        PrepaidLedger next =
+                book.planFullReturn(decodeLedger(object), object.revision().number());
         store.replace(KIND, NAME, object.revision(), Json.tree(next))
                 .whenCompleteAsync(
                         (reply, failure) -> {
--- a/entry/src/main/java/io/hornbeamfield/entry/control/StoreWatcher.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/StoreWatcher.java
@@ -2,6 +2,7 @@
 
 import io.hornbeamfield.core.discovery.OutageProbe;
 import io.hornbeamfield.core.discovery.WatchPacing;
+import io.hornbeamfield.core.store.StoreRevision;
 import io.hornbeamfield.entry.EventLog;
 import io.hornbeamfield.platform.StoreClient;
 import io.hornbeamfield.platform.StoreList;
@@ -83,12 +84,12 @@
         watch(list.revision());
     }
 
-    private void watch(long revision) {
+    private void watch(StoreRevision revision) {
         store.watch(kind, revision, Duration.ofMillis(pacing.watchWaitMs()))
                 .whenCompleteAsync((r, f) -> onWatched(revision, r, f), control);
     }
 
-    private void onWatched(long revision, @Nullable WatchResult reply, @Nullable Throwable failure) {
+    private void onWatched(StoreRevision revision, @Nullable WatchResult reply, @Nullable Throwable failure) {
         if (reply instanceof WatchResult.Changes c) {
             onSuccess(c.ageMs());
             c.changes().forEach(change -> handle(() -> listener.onChange(change)));
@@ -98,7 +99,7 @@
             onSuccess(0);
             log.event("store-history-gone")
                     .field("kind", kind)
-                    .field("revision", revision)
+                    .field("revision", revision.number())
                     .write();
             list();
         } else {
--- /dev/null
+++ b/entry/src/test/java/io/hornbeamfield/entry/RestoredStoreTest.java
@@ -0,0 +1,173 @@
+package io.hornbeamfield.entry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.hornbeamfield.net.json.Json;
+import io.hornbeamfield.platform.standin.FakeBackendServer;
+import io.hornbeamfield.platform.standin.FakeStore;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against instances that take a store that came back from an older copy for the one they knew. */
+final class RestoredStoreTest {
+    private static final String TOKENS = "X-Token-Counts: 90,10";
+    private static final int TOTAL = 1_000;
+
+    /** What a request with {@link #TOKENS} uses: its prompt and one event. */
+    private static final int USED = 91;
+
+    /** Time within which a change must be in force, in milliseconds. */
+    private static final long ADOPTION_MS = 2_000;
+
+    private final EntryFixture fleet = new EntryFixture();
+
+    @AfterEach
+    void stop() {
+        fleet.close();
+    }
+
+    private static JsonNode value(long number) {
+        return Json.mapper().createObjectNode().put("value", number);
+    }
+
+    private void startServing() {
+        FakeBackendServer server = fleet.runner("i-1", "model");
+        server.respondWith(r -> {
+            r.start(200, FakeBackendServer.signedHeaders(r));
+            r.write(FakeBackendServer.event(1));
+            r.end();
+        });
+        fleet.configure(1);
+        fleet.startReady();
+        EntryFixture.await(() -> fleet.entries.get(0).blackboard().membersKnown());
+    }
+
+    private int serve(int entry, int requests) {
+        int served = 0;
+        for (int i = 0; i < requests; i++) {
+            int status = Caller.send(
+                            fleet.address(entry),
+                            "POST",
+                            "/report/x",
+                            EntryFixture.KEY,
+                            EntryFixture.ID,
+                            EntryFixture.DEADLINE,
+                            TOKENS)
+                    .status();
+            served += status == 200 ? 1 : 0;
+        }
+        return served;
+    }
+
+    private long configVersion() {
+        return fleet.entries.get(0).blackboard().config().orElseThrow().version();
+    }
+
+    @Test
+    void aConfigurationIsNotLeftForTheOlderOneOfTheCopy() throws InterruptedException {
+        startServing();
+        FakeStore.Copy copy = fleet.store.copy();
+        fleet.configure(2);
+        EntryFixture.await(() -> configVersion() == 2);
+        fleet.store.restore(copy);
+        Thread.sleep(ADOPTION_MS);
+        assertThat(configVersion()).isEqualTo(2);
+        fleet.configure(3);
+        EntryFixture.await(() -> configVersion() == 3);
+    }
+
+    @Test
+    void aConfigurationUnderARevisionThatIsGivenOutAgainIsAdoptedInTime() throws InterruptedException {
+        startServing();
+        FakeStore.Copy copy = fleet.store.copy();
+        writeOthers(5);
+        fleet.configure(2);
+        EntryFixture.await(() -> configVersion() == 2);
+        fleet.store.mode(FakeStore.Mode.UNAVAILABLE);
+        fleet.store.restore(copy, "config");
+        fleet.configure(3);
+        writeOthers(20);
+        fleet.store.mode(FakeStore.Mode.NORMAL);
+        Thread.sleep(ADOPTION_MS);
+        assertThat(configVersion()).isEqualTo(3);
+    }
+
+    private void writeOthers(int number) {
+        for (int i = 0; i < number; i++) {
+            fleet.store.put("others", "one", value(i));
+        }
+    }
+
+    /** Guards against a watch from a revision that has been given out again, which misses what was written before. */
+    @Test
+    void aServerThatRegistersUnderARevisionThatIsGivenOutAgainIsUsed() throws InterruptedException {
+        startServing();
+        FakeStore.Copy copy = fleet.store.copy();
+        writeOthers(20);
+        fleet.runner("i-2", "model");
+        EntryFixture.await(
+                () -> fleet.entries.get(0).blackboard().servers("model").size() == 2);
+        fleet.store.mode(FakeStore.Mode.UNAVAILABLE);
+        fleet.store.restore(copy, "servers");
+        fleet.runner("i-3", "model");
+        writeOthers(40);
+        fleet.store.mode(FakeStore.Mode.NORMAL);
+        Thread.sleep(ADOPTION_MS);
+        assertThat(fleet.entries.get(0).blackboard().servers("model")).hasSize(3);
+    }
+
+    /** Guards against tokens that are taken again because the copy does not show who has taken them. */
+    @Test
+    void tokensWhoseTakeIsLostAreNotSpentTwice() {
+        fleet.prepaid(TOTAL);
+        startServing();
+        FakeStore.Copy copy = fleet.store.copy();
+        int served = serve(0, 5);
+        assertThat(served).isEqualTo(5);
+        fleet.store.restore(copy);
+        fleet.startReady();
+        served += serve(1, 15);
+        served += serve(0, 15);
+        assertThat(served * USED).isLessThanOrEqualTo(TOTAL);
+    }
+
+    /** Guards against a holder whose tokens the copy gives to nobody and that goes on spending them. */
+    @Test
+    void tokensThatAHolderKeepsWhileItsTakeIsLostAreNotTakenByOthers() {
+        fleet.prepaid(TOTAL);
+        FakeStore.Copy empty = fleet.store.copy();
+        startServing();
+        int served = serve(0, 1);
+        EntryFixture.await(() -> !fleet.store.content("prepaid", "ledger").isMissingNode());
+        fleet.store.restore(empty, "config", "servers");
+        fleet.startReady();
+        served += serve(1, 15);
+        served += serve(0, 15);
+        assertThat(served * USED).isLessThanOrEqualTo(TOTAL);
+    }
+
+    @Test
+    void anInstanceWhoseRegistrationIsLostIsNamedAgain() {
+        FakeStore.Copy empty = fleet.store.copy();
+        startServing();
+        fleet.startReady();
+        EntryFixture.await(() -> fleet.entries.get(1).blackboard().members().size() == 2);
+        fleet.store.restore(empty, "config", "servers");
+        fleet.startReady();
+        EntryFixture.await(() -> fleet.entries.get(2).blackboard().members().size() == 3);
+        assertThat(fleet.entries.get(0).blackboard().members()).hasSizeGreaterThanOrEqualTo(2);
+    }
+
+    @Test
+    void aRestoredStoreIsReadAndServesRequests() {
+        startServing();
+        FakeStore.Copy copy = fleet.store.copy();
+        assertThat(serve(0, 3)).isEqualTo(3);
+        fleet.store.restore(copy, "config", "servers");
+        assertThat(serve(0, 3)).isEqualTo(3);
+        assertThat(new String(Json.bytes(fleet.store.content("config", "main")), StandardCharsets.UTF_8))
+                .contains("\"version\":1");
+    }
+}
--- a/entry/src/test/java/io/hornbeamfield/entry/control/StoreWatcherTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/control/StoreWatcherTest.java
@@ -108,7 +108,7 @@
     private final class Lists implements StoreWatcher.Listener {
         @Override
         public void onList(StoreList list) {
-            listed.add(list.revision());
+            listed.add(list.revision().number());
         }
 
         @Override
