Keep quarantines when the store lacks the reports of crashes

After the store has come back from an older copy, an instance read a list without the reports that others had written since, and ended the quarantine of the parts that they show until the reports were written again: requests that crash servers reached servers again.

Cause: a list of crashes replaces all that others have reported. Since also a list of lower revisions, of a later era, does so.

RewrittenEntries keeps what was known before a restore in place of missing or older entries until they are written again, or for 4 s.

--- a/entry/src/main/java/io/hornbeamfield/entry/control/CrashController.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/CrashController.java
@@ -5,6 +5,7 @@
 import io.hornbeamfield.core.quarantine.CrashJournal;
 import io.hornbeamfield.core.quarantine.PartActivity;
 import io.hornbeamfield.core.quarantine.Quarantine;
+import io.hornbeamfield.core.store.RewrittenEntries;
 import io.hornbeamfield.core.store.StoreRevision;
 import io.hornbeamfield.entry.Blackboard;
 import io.hornbeamfield.entry.EventLog;
@@ -17,7 +18,6 @@
 import java.io.UncheckedIOException;
 import java.time.Clock;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -62,6 +62,9 @@
     /** Collects the requests of one crash, whose connections end within milliseconds. */
     private static final long WRITE_DELAY_MS = 50;
 
+    /** Instances write again after their next read what the store has lost. */
+    private static final long REWRITE_MS = 4_000;
+
     private final StoreClient store;
     private final ScheduledExecutorService control;
     private final Clock clock;
@@ -71,6 +74,7 @@
     private final CrashJournal journal;
     private final Runnable onQuarantineChanged;
     private final BooleanSupplier largeFleet;
+    private final RewrittenEntries<CrashEvidence> reported;
 
     /** The objects of the last recent list with the changes since; empty if the next read must be a list. */
     private Optional<Map<String, StoreObject>> watched = Optional.empty();
@@ -103,6 +107,7 @@
         this.journal = new CrashJournal(clock, activity);
         this.onQuarantineChanged = onQuarantineChanged;
         this.largeFleet = largeFleet;
+        this.reported = new RewrittenEntries<>(clock, REWRITE_MS);
         this.lastCrashMs = clock.millis() - ALERT_MS;
     }
 
@@ -177,7 +182,7 @@
     }
 
     private void apply(StoreList list) {
-        List<CrashEvidence> others = new ArrayList<>();
+        Map<String, CrashEvidence> others = new HashMap<>();
         boolean ownListed = false;
         for (StoreObject o : list.objects()) {
             Optional<CrashEvidence> evidence = decode(o);
@@ -187,7 +192,7 @@
                     evidence.ifPresent(journal::restore);
                 }
             } else {
-                evidence.ifPresent(others::add);
+                evidence.ifPresent(e -> others.put(o.name(), e));
             }
         }
         restored = true;
@@ -207,7 +212,7 @@
             written = CrashEvidence.none();
             writtenRevision = StoreRevision.NONE;
         }
-        journal.othersReported(others);
+        journal.othersReported(reported.listed(list.revision(), others).values());
         assess();
         blackboard.markCrashesKnown();
         removeExpired(list);
--- a/entry/src/test/java/io/hornbeamfield/entry/ServerCrashingPromptTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/ServerCrashingPromptTest.java
@@ -4,8 +4,10 @@
 
 import io.hornbeamfield.net.relay.InboundRequest;
 import io.hornbeamfield.platform.standin.FakeBackendServer;
+import io.hornbeamfield.platform.standin.FakeStore;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -130,6 +132,24 @@
         assertThat(crashes.get()).isEqualTo(before);
     }
 
+    /** Guards against a quarantine that ends when the store comes back from a copy without the reports of others. */
+    @Test
+    void aRestoredStoreWithoutReportsOfCrashesEndsNoQuarantine() throws InterruptedException {
+        FakeStore.Copy copy = fleet.store.copy();
+        for (int i = 0; i < CRASHES_BEFORE_THE_BOUND; i++) {
+            sendCrashing(0);
+        }
+        EntryProcess other = fleet.entries.get(2);
+        EntryFixture.await(() -> !other.blackboard().quarantine().culprits().isEmpty());
+        fleet.store.restore(copy, "config", "servers");
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(2 * CONTACT_MS);
+        while (System.nanoTime() < end) {
+            assertThat(other.blackboard().quarantine().culprits()).isNotEmpty();
+            Thread.sleep(10);
+        }
+        assertThat(fleet.store.content("crashes", "entry-0").isMissingNode()).isFalse();
+    }
+
     @Test
     void requestsThatShareTheOtherPartsOfACrashingOneAreServed() throws InterruptedException {
         for (int i = 0; i < CRASHES_BEFORE_THE_BOUND; i++) {
