Keep instances whose registrations a restored store lacks

After the store has come back from an older copy, instances whose registrations it lacks were missing from the address answers of the others, and from the holders of tokens, until they had registered again and the others had read that: two reads of the list, each 2 s.

What was registered before a restore now counts until it is written again, or for 5 s. Instances that do not answer are removed as before, and each registers again when a list lacks it.

--- a/entry/src/main/java/io/hornbeamfield/entry/control/ControlPlane.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/ControlPlane.java
@@ -146,7 +146,7 @@
                 quarantineListener::quarantineChanged,
                 largeFleet);
         members = new MembershipController(
-                store, http, executor, blackboard, log, self, peers, sharing, readiness(settings, clock));
+                store, http, clock, executor, blackboard, log, self, peers, sharing, readiness(settings, clock));
     }
 
     private StreamOriginController streamOrigins(
--- a/entry/src/main/java/io/hornbeamfield/entry/control/MembershipController.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/MembershipController.java
@@ -6,6 +6,7 @@
 import io.hornbeamfield.core.discovery.InstanceLoads;
 import io.hornbeamfield.core.discovery.RecentReadiness;
 import io.hornbeamfield.core.prepaid.LedgerWriters;
+import io.hornbeamfield.core.store.RewrittenEntries;
 import io.hornbeamfield.core.store.StoreRevision;
 import io.hornbeamfield.entry.Blackboard;
 import io.hornbeamfield.entry.Blackboard.Member;
@@ -21,6 +22,7 @@
 import io.hornbeamfield.platform.Wire;
 import io.hornbeamfield.platform.WriteResult;
 import java.io.UncheckedIOException;
+import java.time.Clock;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -48,6 +50,9 @@
 
     private static final long REGISTER_RETRY_MS = 300;
 
+    /** An instance registers again after its next read of the list, and the others see that in one of their next. */
+    private static final long REREGISTRATION_MS = 5_000;
+
     private final StoreClient store;
     private final HttpClient http;
     private final ScheduledExecutorService control;
@@ -63,12 +68,14 @@
     private final Set<String> notReady = new HashSet<>();
     private Set<String> writers = Set.of();
     private final RecentReadiness readiness;
+    private final RewrittenEntries<Member> rewritten;
     private boolean isRegistered;
     private boolean listed;
 
     MembershipController(
             StoreClient store,
             HttpClient http,
+            Clock clock,
             ScheduledExecutorService control,
             Blackboard blackboard,
             EventLog log,
@@ -86,6 +93,7 @@
         this.peers = peers;
         this.sharing = sharing;
         this.loads = sharing.loads();
+        this.rewritten = new RewrittenEntries<>(clock, REREGISTRATION_MS);
         blackboard.self(self);
         blackboard.mayBeNamed(readiness::mayBeNamed);
     }
@@ -119,14 +127,16 @@
             log.event("members-unread").field("reason", String.valueOf(failure)).write();
             return;
         }
-        registered.clear();
+        Map<String, Member> listedMembers = new HashMap<>();
         revisions.clear();
         for (StoreObject o : list.objects()) {
             decodeMember(o.content()).ifPresent(m -> {
-                registered.put(m.name(), m);
+                listedMembers.put(m.name(), m);
                 revisions.put(m.name(), o.revision());
             });
         }
+        registered.clear();
+        registered.putAll(rewritten.listed(list.revision(), listedMembers));
         reregisterIfRemoved();
         List<LedgerWriters.Candidate> candidates = registered.values().stream()
                 .map(m -> new LedgerWriters.Candidate(m.name(), m.capacity()))
@@ -154,7 +164,7 @@
     }
 
     private void reregisterIfRemoved() {
-        boolean removed = isRegistered && !registered.containsKey(self.name()) && !blackboard.stopping();
+        boolean removed = isRegistered && !revisions.containsKey(self.name()) && !blackboard.stopping();
         if (removed) {
             log.event("registration-missing")
                     .field("instances", registered.size())
--- a/entry/src/test/java/io/hornbeamfield/entry/RestoredStoreTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/RestoredStoreTest.java
@@ -7,6 +7,8 @@
 import io.hornbeamfield.platform.standin.FakeBackendServer;
 import io.hornbeamfield.platform.standin.FakeStore;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -21,6 +23,9 @@
     /** Time within which a change must be in force, in milliseconds. */
     private static final long ADOPTION_MS = 2_000;
 
+    /** Longer than instances and operators take to write again what a copy lacks, in milliseconds. */
+    private static final long REWRITE_MS = 6_000;
+
     private final EntryFixture fleet = new EntryFixture();
 
     @AfterEach
@@ -148,16 +153,29 @@
         assertThat(served * USED).isLessThanOrEqualTo(TOTAL);
     }
 
+    /** Guards against instances that are not named to callers until they have registered again. */
     @Test
-    void anInstanceWhoseRegistrationIsLostIsNamedAgain() {
+    void instancesWhoseRegistrationsAreLostStayMembers() throws InterruptedException {
         FakeStore.Copy empty = fleet.store.copy();
         startServing();
         fleet.startReady();
-        EntryFixture.await(() -> fleet.entries.get(1).blackboard().members().size() == 2);
+        EntryFixture.await(() -> fleet.entries.stream()
+                .allMatch(e -> e.blackboard().membersKnown()
+                        && e.blackboard().members().size() == 2));
         fleet.store.restore(empty, "config", "servers");
-        fleet.startReady();
-        EntryFixture.await(() -> fleet.entries.get(2).blackboard().members().size() == 3);
-        assertThat(fleet.entries.get(0).blackboard().members()).hasSizeGreaterThanOrEqualTo(2);
+        assertThroughout(() ->
+                fleet.entries.stream().allMatch(e -> e.blackboard().members().size() == 2));
+        assertThat(fleet.store.content("entries", "entry-0").isMissingNode()).isFalse();
+        assertThat(fleet.store.content("entries", "entry-1").isMissingNode()).isFalse();
+    }
+
+    /** Asserts that a condition holds while entries that the copy lacks are written again. */
+    private static void assertThroughout(BooleanSupplier condition) throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(REWRITE_MS);
+        while (System.nanoTime() < end) {
+            assertThat(condition.getAsBoolean()).isTrue();
+            Thread.sleep(10);
+        }
     }
 
     @Test
