Continue evacuations that a restored store lacks

After the store has come back from an older copy, zones whose evacuation it lacks got requests again until the operators had written it again.

An evacuation that was known before the restore now goes on until it is written again or 3 s have passed; one that is removed after it was written again ends at once.

--- a/entry/src/main/java/io/hornbeamfield/entry/control/ControlPlane.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/ControlPlane.java
@@ -235,7 +235,7 @@
                 StoreClient.EVACUATION_KIND,
                 executor,
                 log,
-                new EvacuationController(clock, blackboard, log),
+                new EvacuationController(executor, clock, blackboard, log),
                 new WatchPacing(timing, WatchPacing.Changes.SINGLE, largeFleet, ControlPlane::random),
                 probe,
                 StoreWatcher.CatchUp.EVENTS));
--- a/entry/src/main/java/io/hornbeamfield/entry/control/EvacuationController.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/EvacuationController.java
@@ -1,6 +1,8 @@
 package io.hornbeamfield.entry.control;
 
 import io.hornbeamfield.core.discovery.ZoneEvacuations;
+import io.hornbeamfield.core.store.RewrittenEntries;
+import io.hornbeamfield.core.store.StoreRevision;
 import io.hornbeamfield.entry.Blackboard;
 import io.hornbeamfield.entry.EventLog;
 import io.hornbeamfield.platform.EvacuationDecoder;
@@ -8,39 +10,68 @@
 import io.hornbeamfield.platform.StoreObject;
 import io.hornbeamfield.platform.WatchResult;
 import java.time.Clock;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 
 /** Publishes the availability zones that operators evacuate. */
 final class EvacuationController implements StoreWatcher.Listener {
+    /** Operators write again within seconds what the store has lost. */
+    private static final long REWRITE_MS = 3_000;
+
     private final Clock clock;
     private final Blackboard blackboard;
     private final EventLog log;
+    private final ScheduledExecutorService control;
     private final ZoneEvacuations evacuations;
+    private final RewrittenEntries<Boolean> rewritten;
+    private final Set<String> stored = new HashSet<>();
+    private StoreRevision revision = StoreRevision.NONE;
 
-    EvacuationController(Clock clock, Blackboard blackboard, EventLog log) {
+    EvacuationController(ScheduledExecutorService control, Clock clock, Blackboard blackboard, EventLog log) {
+        this.control = control;
         this.clock = clock;
         this.blackboard = blackboard;
         this.log = log;
         this.evacuations = new ZoneEvacuations(clock, blackboard::isKnownZone);
+        this.rewritten = new RewrittenEntries<>(clock, REWRITE_MS);
     }
 
     @Override
     public void onList(StoreList list) {
-        evacuations.replaceAll(list.objects().stream().map(StoreObject::name).toList());
+        stored.clear();
+        list.objects().forEach(o -> stored.add(o.name()));
+        apply(list.revision());
         list.objects().forEach(this::logOddities);
-        publish(list.revision().number());
+        if (rewritten.isBeingRewritten()) {
+            control.schedule(() -> apply(revision), REWRITE_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Applies what the store has at a revision. */
+    private void apply(StoreRevision at) {
+        revision = at;
+        Map<String, Boolean> listed = stored.stream().collect(Collectors.toMap(Function.identity(), z -> true));
+        evacuations.replaceAll(rewritten.listed(at, listed).keySet());
+        publish(at.number());
     }
 
     @Override
     public void onChange(WatchResult.Change change) {
         StoreObject object = change.object();
         if (change.removed()) {
-            evacuations.end(object.name());
+            stored.remove(object.name());
         } else {
-            evacuations.begin(object.name());
+            stored.add(object.name());
+        }
+        apply(object.revision());
+        if (!change.removed()) {
             logOddities(object);
         }
-        publish(object.revision().number());
     }
 
     private void publish(long revision) {
--- a/entry/src/test/java/io/hornbeamfield/entry/RestoredStoreTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/RestoredStoreTest.java
@@ -178,6 +178,46 @@
         }
     }
 
+    /** Guards against requests to a zone whose evacuation the copy lacks. */
+    @Test
+    void anEvacuationThatTheCopyLacksGoesOnUntilItIsWrittenAgain() throws InterruptedException {
+        fleet.deployment("{\"evacuationAdoptionMs\":5000}");
+        startServing();
+        fleet.runner("i-2", "model", "south");
+        EntryFixture.await(() -> servers() == 2);
+        FakeStore.Copy copy = fleet.store.copy();
+        fleet.store.put("evacuations", "south", Json.mapper().createObjectNode());
+        EntryFixture.await(() -> servers() == 1);
+        fleet.store.restore(copy);
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(2);
+        while (System.nanoTime() < end) {
+            assertThat(servers()).isEqualTo(1);
+            Thread.sleep(10);
+        }
+        fleet.store.put("evacuations", "south", Json.mapper().createObjectNode());
+        assertThroughout(() -> servers() == 1);
+        fleet.store.remove("evacuations", "south");
+        EntryFixture.await(() -> servers() == 2);
+    }
+
+    /** Guards against an evacuation that nobody has asked for any more. */
+    @Test
+    void anEvacuationThatIsNotWrittenAgainEnds() {
+        fleet.deployment("{\"evacuationAdoptionMs\":5000}");
+        startServing();
+        fleet.runner("i-2", "model", "south");
+        EntryFixture.await(() -> servers() == 2);
+        FakeStore.Copy copy = fleet.store.copy();
+        fleet.store.put("evacuations", "south", Json.mapper().createObjectNode());
+        EntryFixture.await(() -> servers() == 1);
+        fleet.store.restore(copy);
+        EntryFixture.await(() -> servers() == 2);
+    }
+
+    private int servers() {
+        return fleet.entries.get(0).blackboard().servers("model").size();
+    }
+
     @Test
     void aRestoredStoreIsReadAndServesRequests() {
         startServing();
