Keep servers whose registrations a restored store lacks

An instance that learns of an older copy of the store from another call, while its watch of the servers has seen no failure, listed them at once and dropped those that the copy lacks, although they register again within two seconds: their requests were refused or went elsewhere.

The grace for registering again now also begins when the list is of a later era.

--- a/core/src/main/java/io/hornbeamfield/core/discovery/BackendDirectory.java
+++ b/core/src/main/java/io/hornbeamfield/core/discovery/BackendDirectory.java
@@ -70,6 +70,11 @@
         }
     }
 
+    /** Records that the store came back from an older copy, in which live servers may be missing. */
+    public void storeRestored() {
+        graceEndsMs = clock.millis() + REREGISTRATION_GRACE_MS;
+    }
+
     /** Applies a complete list of registrations. */
     public void replaceAll(Collection<BackendServer> listed) {
         Set<String> ids = new HashSet<>();
--- a/entry/src/main/java/io/hornbeamfield/entry/control/BackendController.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/BackendController.java
@@ -40,6 +40,11 @@
         this.streamVersions = streamVersions;
     }
 
+    @Override
+    public void onStoreRestored() {
+        directory.storeRestored();
+    }
+
     @Override
     public void onList(StoreList list) {
         List<BackendServer> servers = decode(list);
--- a/entry/src/main/java/io/hornbeamfield/entry/control/StoreWatcher.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/StoreWatcher.java
@@ -28,6 +28,11 @@
 
         void onChange(WatchResult.Change change);
 
+        /** The store has come back from an older copy; called before a list of what it has now. */
+        default void onStoreRestored() {
+            // Most states do not depend on what the copy lacks.
+        }
+
         void onStoreLost(String reason);
 
         /**
@@ -46,6 +51,7 @@
     private final WatchPacing pacing;
     private final OutageProbe probe;
     private final CatchUp catchUp;
+    private StoreRevision lastListed = StoreRevision.NONE;
 
     StoreWatcher(
             StoreClient store,
@@ -80,6 +86,10 @@
             return;
         }
         onSuccess(list.ageMs());
+        if (!lastListed.equals(StoreRevision.NONE) && !lastListed.isOfGenerationOf(list.revision())) {
+            handle(listener::onStoreRestored);
+        }
+        lastListed = list.revision();
         handle(() -> listener.onList(list));
         watch(list.revision());
     }
--- a/entry/src/test/java/io/hornbeamfield/entry/RestoredStoreTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/RestoredStoreTest.java
@@ -214,6 +214,23 @@
         EntryFixture.await(() -> servers() == 2);
     }
 
+    /** Guards against a server that gets no requests until it has registered again, although it is there. */
+    @Test
+    void aServerWhoseRegistrationIsLostIsUsedWhileItMayRegisterAgain() throws InterruptedException {
+        startServing();
+        FakeStore.Copy copy = fleet.store.copy();
+        FakeBackendServer lost = fleet.runner("i-2", "model");
+        EntryFixture.await(() -> servers() == 2);
+        int lists = fleet.store.reads("servers");
+        fleet.store.mode(FakeStore.Mode.SILENT);
+        fleet.store.restore(copy);
+        fleet.store.mode(FakeStore.Mode.NORMAL);
+        EntryFixture.await(() -> fleet.store.reads("servers") > lists + 1);
+        assertThat(servers()).isEqualTo(2);
+        lost.register(fleet.store, false);
+        assertThroughout(() -> servers() == 2);
+    }
+
     private int servers() {
         return fleet.entries.get(0).blackboard().servers("model").size();
     }
