Remember versions that a restored store's record lacks

A version that was recorded in the seconds which the store has lost, and whose servers have left since, was missing from the record of versions: one version seemed to be the only one that may have begun streams, so a take-up of which nobody remembers the stream was sent to its servers. The answer was joined from two versions.

Cause: only registered versions are written to the record again.

--- a/core/src/main/java/io/hornbeamfield/core/stream/VersionRegistry.java
+++ b/core/src/main/java/io/hornbeamfield/core/stream/VersionRegistry.java
@@ -37,6 +37,9 @@
     /** Versions that are in the record without a registration, each with the time since when. */
     private final Map<ServiceVersion, Long> absentSinceMs = new HashMap<>();
 
+    /** Versions that may have begun streams before the store came back from a copy that may lack them. */
+    private final Set<ServiceVersion> beforeRestore = new HashSet<>();
+
     public VersionRegistry(Clock clock) {
         this.clock = clock;
     }
@@ -60,6 +63,23 @@
         recorded.retainAll(registered);
     }
 
+    /** Records that the store came back from an older copy, so that the record may lack versions. */
+    public void storeRestored() {
+        beforeRestore.addAll(recorded);
+        beforeRestore.addAll(absentSinceMs.keySet());
+    }
+
+    /** Returns a record with the versions that it may have lost. */
+    public VersionRecord withLost(VersionRecord current) {
+        return current.changed(Set.of(), lost());
+    }
+
+    private Set<ServiceVersion> lost() {
+        long now = clock.millis();
+        beforeRestore.removeIf(v -> now - absentSinceMs.getOrDefault(v, now) >= REMOVAL_MS);
+        return beforeRestore;
+    }
+
     /** Returns the registered versions with which no stream may begin yet. */
     public Set<ServiceVersion> unrecorded() {
         return registered.stream().filter(v -> !recorded.contains(v)).collect(Collectors.toSet());
@@ -87,7 +107,7 @@
 
     /** Returns the record to write in place of the given one. */
     public VersionRecord completed(VersionRecord current) {
-        return current.changed(expired(current), registered);
+        return withLost(current).changed(expired(current), registered);
     }
 
     /** Takes over a record as the store has it now. */
--- a/core/src/test/java/io/hornbeamfield/core/stream/VersionRegistryTest.java
+++ b/core/src/test/java/io/hornbeamfield/core/stream/VersionRegistryTest.java
@@ -109,4 +109,31 @@
         write();
         assertThat(stored.of("model")).containsExactly("1.1");
     }
+
+    /** Guards against a record of one version that a copy of the store shows although two may have begun streams. */
+    @Test
+    void aVersionThatTheCopyOfARestoredStoreLacksIsWrittenAgain() {
+        registry.registered(Set.of(OLD, NEW));
+        write();
+        registry.registered(Set.of(NEW));
+        VersionRecord copy = new VersionRecord(Map.of("model", Set.of("1.1")));
+        registry.storeLost();
+        registry.storeRestored();
+        assertThat(registry.withLost(copy).of("model")).containsExactlyInAnyOrder("1.0", "1.1");
+        stored = copy;
+        write();
+        assertThat(stored.of("model")).containsExactlyInAnyOrder("1.0", "1.1");
+    }
+
+    @Test
+    void aVersionOfBeforeARestoreIsRemovedLongAfterItsLastServer() {
+        registry.registered(Set.of(OLD, NEW));
+        write();
+        registry.storeRestored();
+        registry.registered(Set.of(NEW));
+        advance(VersionRegistry.REMOVAL_MS);
+        write();
+        assertThat(stored.of("model")).containsExactly("1.1");
+        assertThat(registry.withLost(stored)).isEqualTo(stored);
+    }
 }
--- a/entry/src/main/java/io/hornbeamfield/entry/control/BackendController.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/BackendController.java
@@ -43,6 +43,7 @@
     @Override
     public void onStoreRestored() {
         directory.storeRestored();
+        streamVersions.storeRestored();
     }
 
     @Override
--- a/entry/src/main/java/io/hornbeamfield/entry/control/StreamVersionController.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/StreamVersionController.java
@@ -46,6 +46,7 @@
     private boolean serversListed;
     private boolean recordRead;
     private boolean syncing;
+    private long generation;
 
     StreamVersionController(
             StoreClient store,
@@ -88,6 +89,20 @@
         registry.storeLost();
     }
 
+    /** Writes versions again that the record may lack because the store has come back from an older copy. */
+    void storeRestored() {
+        noticeRestore();
+        long spreadMs = largeFleet.getAsBoolean() ? ThreadLocalRandom.current().nextLong(LARGE_FLEET_SPREAD_MS) : 0;
+        control.schedule(this::sync, spreadMs, TimeUnit.MILLISECONDS);
+    }
+
+    private void noticeRestore() {
+        if (store.generation() != generation) {
+            generation = store.generation();
+            registry.storeRestored();
+        }
+    }
+
     /** Removes versions that have long had no server from the record. Called a few times per second. */
     void tick() {
         if (registry.removalDue() && isFirstInstance()) {
@@ -118,12 +133,15 @@
         return store.get(KIND, NAME)
                 .thenApplyAsync(
                         found -> {
+                            noticeRestore();
                             VersionRecord current =
                                     found.map(StreamVersionController::decode).orElseGet(VersionRecord::empty);
-                            if (!registered.stream().allMatch(current::contains)) {
+                            VersionRecord complete = registry.withLost(current);
+                            if (!complete.equals(current)
+                                    || !registered.stream().allMatch(current::contains)) {
                                 sync();
                             }
-                            return current;
+                            return complete;
                         },
                         control);
     }
@@ -149,6 +167,7 @@
     }
 
     private void complete(Optional<StoreObject> found) {
+        noticeRestore();
         VersionRecord current = found.map(StreamVersionController::decode).orElseGet(VersionRecord::empty);
         VersionRecord next = registry.completed(current);
         if (next.equals(current)) {
--- a/entry/src/test/java/io/hornbeamfield/entry/StreamsAfterALossTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/StreamsAfterALossTest.java
@@ -131,6 +131,29 @@
         }
     }
 
+    /** Guards against a stream that goes on at the one version which a copy of the store still names. */
+    @Test
+    void afterARestoreOfTheStoreAVersionThatTheCopyLacksIsNotForgotten() {
+        streams.server("i-1", NEW);
+        streams.startTwo();
+        streams.awaitServers(1);
+        FakeStore.Copy copy = streams.fleet.store.copy();
+        streams.server("i-0", OLD);
+        streams.awaitServers(2);
+        VersionedStreams.Begun begun = streams.begin(0, OLD);
+        streams.fleet.store.remove("servers", "i-0");
+        streams.awaitServers(1);
+        streams.fleet.store.restore(copy, "config", "servers", "entries");
+        assertRefused(streams.takeUp(1, "forgotten"), 3009);
+        assertRefused(streams.takeUp(0, begun), 3004);
+        EntryFixture.await(() -> streams.fleet
+                .store
+                .content("stream-versions", "record")
+                .toString()
+                .contains(OLD));
+        assertRefused(streams.takeUp(1, "forgotten"), 3009);
+    }
+
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
     void afterAKillOfAllAStreamOfAVersionThatHasLeftIsRefusedAndANewOneBegins(boolean kept) {
