--- a/entry/src/main/java/io/hornbeamfield/entry/control/ControlPlane.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/ControlPlane.java
@@ -90,8 +90,7 @@
             LoadSharing sharing) {
         this.executor = executor;
         delays = new DelayLog(clock, log, "control");
-        StoreClient store = storeClient(settings, http, storeCalls);
-        store.onNewEra(era -> log.event("store-restored").field("era", era).write());
+        StoreClient store = storeClient(settings, http, storeCalls, log);
         prepaid = new PrepaidController(
                 store, clock, executor, book, log, isEarlierIncarnation(settings, book), tokenListener);
         BooleanSupplier largeFleet = () -> CheckedInstances.isLargeFleet(blackboard.instanceCount() - 1);
@@ -171,10 +170,12 @@
                 clock, blackboard, book, log, () -> prepaid().tick(), regionsDeclared);
     }
 
-    private static StoreClient storeClient(EntrySettings settings, HttpClient http, StoreCalls calls) {
+    private static StoreClient storeClient(EntrySettings settings, HttpClient http, StoreCalls calls, EventLog log) {
         // A list that is given up has to arrive from its start again.
         Duration listTimeout = Duration.ofMillis(settings.storeContactMs());
-        return new StoreClient(http, settings.storeAddress(), STORE_TIMEOUT, listTimeout, calls);
+        StoreClient store = new StoreClient(http, settings.storeAddress(), STORE_TIMEOUT, listTimeout, calls);
+        store.onNewEra(era -> log.event("store-restored").field("era", era).write());
+        return store;
     }
 
     private static Member self(EntrySettings settings) {
