Let old answers of the store begin no generation

A list that may be out of date may come from a replica that has not seen a restore yet and names the era before it. StoreEras took that for another store, as the call was sent after the later era had been seen, and the next ordinary answer for a restore again: each read of the list of instances would have made an instance list all kinds twice.

--- a/core/src/main/java/io/hornbeamfield/core/store/StoreEras.java
+++ b/core/src/main/java/io/hornbeamfield/core/store/StoreEras.java
@@ -13,6 +13,9 @@
  * }</pre>
  */
 public final class StoreEras {
+    /** Number of a call whose answer may be older than the call. */
+    public static final long ANY_TIME = 0;
+
     private long calls;
     private long era;
     private boolean eraKnown;
@@ -28,7 +31,7 @@
      * Returns the generation to which an answer belongs, empty if its content is older than that of a later era which
      * has been seen already.
      *
-     * @param call number of the call that was answered
+     * @param call number of the call that was answered, or {@link #ANY_TIME}
      * @param named era that the answer names, 0 if it names none
      */
     public synchronized OptionalLong generationOf(long call, long named) {
--- a/core/src/test/java/io/hornbeamfield/core/store/StoreErasTest.java
+++ b/core/src/test/java/io/hornbeamfield/core/store/StoreErasTest.java
@@ -44,6 +44,16 @@
         assertThat(answered(2)).isEqualTo(now);
     }
 
+    /** Guards against a generation for each answer of a replica that has not seen the restore yet. */
+    @Test
+    void anOldAnswerOfALowerEraIsOfNoGeneration() {
+        answered(1);
+        long now = answered(2);
+        assertThat(eras.generationOf(StoreEras.ANY_TIME, 1)).isEmpty();
+        assertThat(eras.generationOf(StoreEras.ANY_TIME, 2)).hasValue(now);
+        assertThat(answered(2)).isEqualTo(now);
+    }
+
     /** Guards against a store with fewer eras than its predecessor, all answers of which would be taken for late. */
     @Test
     void aStoreThatCountsItsErasAnewBeginsAGeneration() {
