Register again over an earlier registration of a restored store

When the store comes back from a copy of before an instance's last start, the copy has the registration of the earlier incarnation. Instances registered again only if the list lacked them, so that one whose addresses had changed stayed registered, and was looked for, under the earlier ones.

A registration that a list of a later generation shows with other content is written again, once.

--- a/entry/src/main/java/io/hornbeamfield/entry/control/MembershipController.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/MembershipController.java
@@ -70,6 +70,7 @@
     private final RecentReadiness readiness;
     private final RewrittenEntries<Member> rewritten;
     private boolean isRegistered;
+    private StoreRevision ownRevision = StoreRevision.NONE;
     private boolean listed;
 
     MembershipController(
@@ -107,13 +108,14 @@
     }
 
     private void onRegistered(@Nullable WriteResult reply, @Nullable Throwable failure) {
-        if (!(reply instanceof WriteResult.Stored)) {
+        if (!(reply instanceof WriteResult.Stored s)) {
             log.event("register-failed")
                     .field("reason", reply == null ? String.valueOf(failure) : reply.toString())
                     .write();
             control.schedule(this::register, REGISTER_RETRY_MS, TimeUnit.MILLISECONDS);
         } else {
             isRegistered = true;
+            ownRevision = s.object().revision();
         }
     }
 
@@ -137,7 +139,7 @@
         }
         registered.clear();
         registered.putAll(rewritten.listed(list.revision(), listedMembers));
-        reregisterIfRemoved();
+        reregisterIfLost(list.revision(), Optional.ofNullable(listedMembers.get(self.name())));
         List<LedgerWriters.Candidate> candidates = registered.values().stream()
                 .map(m -> new LedgerWriters.Candidate(m.name(), m.capacity()))
                 .toList();
@@ -163,9 +165,11 @@
         }
     }
 
-    private void reregisterIfRemoved() {
-        boolean removed = isRegistered && !revisions.containsKey(self.name()) && !blackboard.stopping();
-        if (removed) {
+    /** Registers again if the registration was removed or the store came back from a copy with an earlier one. */
+    private void reregisterIfLost(StoreRevision at, Optional<Member> listedSelf) {
+        boolean lost = listedSelf.isEmpty()
+                || (!at.isOfGenerationOf(ownRevision) && !listedSelf.get().equals(self));
+        if (lost && isRegistered && !blackboard.stopping()) {
             log.event("registration-missing")
                     .field("instances", registered.size())
                     .write();
--- a/entry/src/test/java/io/hornbeamfield/entry/RestoredStoreTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/RestoredStoreTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.hornbeamfield.net.json.Json;
 import io.hornbeamfield.platform.standin.FakeBackendServer;
 import io.hornbeamfield.platform.standin.FakeStore;
@@ -169,6 +170,21 @@
         assertThat(fleet.store.content("entries", "entry-1").isMissingNode()).isFalse();
     }
 
+    /** Guards against an instance that is looked for under the address of its earlier incarnation. */
+    @Test
+    void anInstanceWhoseRegistrationIsOlderInTheCopyRegistersAgain() {
+        ObjectNode earlier = Json.mapper().createObjectNode();
+        earlier.put("name", "entry-0").put("zone", "north").put("callerAddress", "127.0.0.1:1");
+        earlier.put("readinessAddress", "127.0.0.1:1").put("peerAddress", "127.0.0.1:1");
+        fleet.store.put("entries", "entry-0", earlier);
+        FakeStore.Copy copy = fleet.store.copy();
+        startServing();
+        JsonNode registered = fleet.store.content("entries", "entry-0");
+        assertThat(registered).isNotEqualTo(earlier);
+        fleet.store.restore(copy, "config", "servers");
+        EntryFixture.await(() -> fleet.store.content("entries", "entry-0").equals(registered));
+    }
+
     /** Asserts that a condition holds while entries that the copy lacks are written again. */
     private static void assertThroughout(BooleanSupplier condition) throws InterruptedException {
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(REWRITE_MS);
