--- a/entry/src/test/java/io/hornbeamfield/entry/RestoredStoreTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/RestoredStoreTest.java
@@ -39,6 +39,8 @@
     }
 
     private void startServing() {
+        // Requests wait for tokens during half of the objective.
+        fleet.objectiveMs(4_000);
         FakeBackendServer server = fleet.runner("i-1", "model");
         server.respondWith(r -> {
             r.start(200, FakeBackendServer.signedHeaders(r));
