--- a/entry/src/test/java/io/hornbeamfield/entry/DaemonProcess.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/DaemonProcess.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
 /** An entry daemon in a process of its own, with the options that its deployment gives it. */
@@ -78,6 +79,26 @@
         return process.isAlive();
     }
 
+    /** Sends a signal, such as {@code TERM}. */
+    void signal(String name) {
+        try {
+            new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
+                    .start()
+                    .waitFor();
+        } catch (IOException | InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    /** Waits until the process has ended; returns whether it ended within the given time. */
+    boolean awaitEnd(long ms) {
+        try {
+            return process.waitFor(ms, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
     /** Returns what the daemon has written so far. */
     String output() {
         try {
--- a/entry/src/test/java/io/hornbeamfield/entry/EntryFixture.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/EntryFixture.java
@@ -178,8 +178,13 @@
 
     /** Returns the settings of a further daemon that has the given store. */
     EntrySettings newSettings(String storeAddress) {
+        return newSettings("entry-" + entries.size(), storeAddress);
+    }
+
+    /** Returns the settings of a daemon that has the given name and store. */
+    EntrySettings newSettings(String instance, String storeAddress) {
         return new EntrySettings(
-                "entry-" + entries.size(),
+                instance,
                 "north",
                 FreePorts.freeAddress(),
                 FreePorts.freeAddress(),
