Let holders declare what they have taken when the store lost it

Cause: a store that comes back from an older copy lacks takes of its last seconds from the ledger of prepaid totals. Revisions of ledgers were compared without the generation of the store. Change: the ledger names the era in which it was written. On the basis of one of another era nobody takes or returns tokens until all holders have declared in it what they have certainly taken. LedgerDeclarations decides that without I/O: the newest known ledger counts in place of the copy, a holder that does not declare within 3 s is charged the limit that its witnesses know and a part set aside, and declares exactly when it is back. Writes of an earlier era that arrive late are recognised by their era. Writes are planned in LedgerWrites, which was a part of PrepaidHoldings; a ledger is passed with its revision and era as StoredLedger. Fields that older ledgers lack are read by LedgerJson. PrepaidFleetSearchTest: the reading of the ledger moved into Node, same checks.

--- a/core/src/main/java/io/hornbeamfield/core/prepaid/PrepaidAccount.java
+++ b/core/src/main/java/io/hornbeamfield/core/prepaid/PrepaidAccount.java
@@ -71,7 +71,12 @@
     }
 
     long free() {
-        return Math.min(confirmedTaken, unconfirmedFloor) + received - transferred - used - reserved;
+        return certainlyTaken() + received - transferred - used - reserved;
+    }
+
+    /** Returns the tokens that this instance has taken and not returned, whatever the outcome of pending writes. */
+    long certainlyTaken() {
+        return Math.min(confirmedTaken, unconfirmedFloor);
     }
 
     long confirmedTaken() {
--- a/core/src/main/java/io/hornbeamfield/core/prepaid/PrepaidHoldings.java
+++ b/core/src/main/java/io/hornbeamfield/core/prepaid/PrepaidHoldings.java
@@ -1,10 +1,10 @@
 package io.hornbeamfield.core.prepaid;
 
 import io.hornbeamfield.core.route.WorkspaceAccess;
+import io.hornbeamfield.core.store.StoreRevision;
 import java.time.Clock;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -12,7 +12,6 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
 import java.util.stream.Collectors;
-import org.jspecify.annotations.Nullable;
 
 /**
  * The tokens that this instance holds of all prepaid totals. Tokens are spent only after the store has confirmed that
@@ -23,7 +22,7 @@
  *     ...
  *     holdings.settle("plots", 1_500, 900);
  * }
- * holdings.planWrite(ledger, revision, ended).ifPresent(next -> store.write(next, revision));
+ * holdings.planWrite(stored, ended).ifPresent(next -> store.write(next, stored.revision()));
  * }</pre>
  */
 public final class PrepaidHoldings {
@@ -32,18 +31,11 @@
     private final IntSupplier holders;
     private final BooleanSupplier holds;
     private final BooleanSupplier largeFleet;
-    /** Shortest time between two writes that no request is waiting for; the store counts and prices each call. */
-    private static final long MIN_ROUTINE_WRITE_INTERVAL_MS = 1_000;
-
-    private static final HoldingSizer LARGE_FLEET = new LargeFleetSizer();
-
     private final Map<String, PrepaidAccount> accounts = new TreeMap<>();
     private final WitnessedLimits limits = new WitnessedLimits();
-    private Optional<Set<String>> newWitnesses = Optional.empty();
-    private @Nullable PrepaidLedger appliedLedger;
-    private long appliedRevision = Long.MIN_VALUE;
-    private long writtenAtRevision = Long.MIN_VALUE;
-    private long nextRoutineWriteMs = Long.MIN_VALUE;
+    private final LedgerDeclarations declarations;
+    private StoreRevision appliedRevision = StoreRevision.NONE;
+    private final LedgerWrites writes;
 
     /** Creates the holdings of an instance that is always a holder. */
     public PrepaidHoldings(Clock clock, String holder, IntSupplier holders) {
@@ -70,6 +62,13 @@
         this.holders = holders;
         this.holds = holds;
         this.largeFleet = largeFleet;
+        this.declarations = new LedgerDeclarations(clock, holder, this::certainlyTaken);
+        this.writes = new LedgerWrites(this, clock, accounts, limits, declarations);
+    }
+
+    /** Sets the access to what is known of other holders without the store. */
+    public synchronized void usePeers(LedgerPeers peers) {
+        declarations.peers(peers);
     }
 
     /** Returns the name of this holder. */
@@ -89,20 +88,25 @@
 
     private PrepaidAccount newAccount(String workspace) {
         PrepaidAccount a = new PrepaidAccount();
-        if (appliedLedger != null) {
-            applyLedger(appliedLedger, workspace, a);
+        StoredLedger confirmed = declarations.confirmed();
+        if (confirmed != null) {
+            applyLedger(confirmed.ledger(), workspace, a);
         }
         return a;
     }
 
-    /** Applies a ledger that was read, or that was stored by a confirmed write. */
-    public synchronized void applyLedger(PrepaidLedger ledger, long revision) {
-        appliedLedger = ledger;
-        appliedRevision = revision;
-        limits.applyRegistered(ledger.witnessesOf(holder), writesResolved());
-        if (newWitnesses.isPresent() && newWitnesses.get().equals(limits.registered())) {
-            newWitnesses = Optional.empty();
+    /**
+     * Applies a ledger that was read, or that was stored by a confirmed write. One of a store that came back from an
+     * older copy is not applied until it shows what this holder has taken.
+     */
+    public synchronized void applyLedger(StoredLedger stored) {
+        if (!declarations.observe(stored)) {
+            return;
         }
+        PrepaidLedger ledger = stored.ledger();
+        appliedRevision = stored.revision();
+        limits.applyRegistered(ledger.witnessesOf(holder), writesResolved());
+        writes.witnessesRegistered();
         accounts.forEach((name, a) -> applyLedger(ledger, name, a));
     }
 
@@ -113,16 +117,31 @@
 
     /** Returns whether the applied ledger shows the outcome of all writes. */
     private boolean writesResolved() {
-        return appliedRevision > writtenAtRevision;
+        return appliedRevision.compareTo(writes.writtenAtRevision()) > 0;
     }
 
     /** Applies the ledger on which a write is based, so that the write cannot take what others have taken. */
-    private void applyBase(PrepaidLedger ledger, long revision) {
-        if (appliedLedger == null || revision != appliedRevision) {
-            applyLedger(ledger, revision);
+    private void applyBase(StoredLedger stored) {
+        if (!declarations.isLatest(stored)) {
+            applyLedger(stored);
         }
     }
 
+    private Map<String, Long> certainlyTaken() {
+        Map<String, Long> taken = new HashMap<>();
+        accounts.forEach((name, a) -> {
+            if (a.certainlyTaken() != 0) {
+                taken.put(name, a.certainlyTaken());
+            }
+        });
+        return taken;
+    }
+
+    /** Returns whether tokens may be taken; not while holders declare what a restored ledger may lack. */
+    public synchronized boolean isLedgerSettled() {
+        return declarations.isSettled();
+    }
+
     /**
      * Reserves the most that a request can use. Returns false if the free tokens or the witnessed limit do not cover
      * it.
@@ -204,7 +223,7 @@
      * Without witnesses the use is not limited, and none of the holdings are released if this process is killed.
      */
     public synchronized void chooseWitnesses(Set<String> names) {
-        newWitnesses = names.equals(limits.registered()) ? Optional.empty() : Optional.of(Set.copyOf(names));
+        writes.chooseWitnesses(names);
     }
 
     /** Records that a request starts waiting for tokens. */
@@ -226,7 +245,8 @@
 
     /** Returns whether the tokens that no holder has taken cover the shortfall of the smallest waiting request. */
     public synchronized boolean coversSmallestWaiting(String workspace) {
-        return account(workspace).map(a -> a.shortfall() <= a.untaken()).orElse(true);
+        return !declarations.isSettled()
+                || account(workspace).map(a -> a.shortfall() <= a.untaken()).orElse(true);
     }
 
     /** Returns the tokens that the smallest waiting request lacks here, 0 if none is waiting. */
@@ -288,11 +308,7 @@
 
     /** Returns whether a write to the ledger is due. */
     public synchronized boolean needsWrite() {
-        long now = clock.millis();
-        boolean routine = now >= nextRoutineWriteMs;
-        return (routine && newWitnesses.map(this::coversUse).orElse(false))
-                || accounts.values().stream()
-                        .anyMatch(a -> change(a, now, false) != 0 && (a.shortfall() > 0 || routine));
+        return writes.areDue();
     }
 
     /** Returns the total, the untaken tokens and the free tokens held here of each workspace, for the log. */
@@ -316,79 +332,26 @@
     }
 
     /**
-     * Plans a write that is conditional on the given revision. Returns the ledger to write, or empty if no change is
-     * needed.
+     * Plans a write that is conditional on the revision of a ledger. Returns the ledger to write, or empty if no change
+     * is needed.
      */
-    public synchronized Optional<PrepaidLedger> planWrite(
-            PrepaidLedger ledger, long revision, Collection<EndedHolder> ended) {
-        applyBase(ledger, revision);
-        long now = clock.millis();
-        Map<String, Long> proposals = new HashMap<>();
-        // A write is paid for once, so it refills all holdings of a large fleet that are not full.
-        boolean refillAll =
-                largeFleet.getAsBoolean() && accounts.values().stream().anyMatch(a -> change(a, now, false) != 0);
-        accounts.forEach((name, a) -> {
-            long change = change(a, now, refillAll);
-            if (change != 0) {
-                proposals.put(name, a.confirmedTaken() + change);
-            }
-        });
-        PrepaidLedger next = ledger.fold(ended);
-        boolean setsWitnesses = newWitnesses.isPresent() && coversUse(newWitnesses.get());
-        if (proposals.isEmpty() && !setsWitnesses && next.equals(ledger)) {
-            return Optional.empty();
-        }
-        proposals.forEach((name, taken) -> requireAccount(name).recordPendingWrite(taken));
-        writtenAtRevision = revision;
-        nextRoutineWriteMs = now + MIN_ROUTINE_WRITE_INTERVAL_MS;
-        for (Map.Entry<String, Long> p : proposals.entrySet()) {
-            next = next.with(p.getKey(), holder, p.getValue());
-        }
-        // Use beyond the limits that the new witnesses acknowledged would be unwitnessed; they must get new limits
-        // first.
-        if (setsWitnesses && newWitnesses.isPresent()) {
-            limits.propose(newWitnesses.get());
-            next = next.withWitnesses(holder, newWitnesses.get());
-        }
-        return Optional.of(next);
-    }
-
-    /** Plans the final write of this process, which returns all free tokens. */
-    public synchronized PrepaidLedger planFullReturn(PrepaidLedger ledger, long revision) {
-        applyBase(ledger, revision);
-        PrepaidLedger next = ledger;
-        for (Map.Entry<String, PrepaidAccount> e : accounts.entrySet()) {
-            PrepaidAccount a = e.getValue();
-            long kept = a.confirmedTaken() - Math.max(0, a.free());
-            a.recordPendingWrite(kept);
-            next = next.with(e.getKey(), holder, kept);
-        }
-        writtenAtRevision = revision;
-        return next.fold(List.of(new EndedHolder(holder, Optional.empty())));
-    }
-
-    /** Returns whether the limits that the witnesses have acknowledged cover the current use of all workspaces. */
-    private boolean coversUse(Set<String> witnesses) {
-        return accounts.entrySet().stream().allMatch(e -> e.getValue().net() <= limits.limitOf(witnesses, e.getKey()));
+    public synchronized Optional<PrepaidLedger> planWrite(StoredLedger stored, Collection<EndedHolder> ended) {
+        applyBase(stored);
+        return writes.plan(stored, ended);
     }
 
-    private long change(PrepaidAccount a, long now, boolean refill) {
-        return new HoldingChange(isHolder(), holderCount(), sizer()).tokens(a, now, refill);
+    /** Plans the ledger to create in a store that has none. */
+    public synchronized PrepaidLedger planCreation(long era) {
+        return declarations.create(era);
     }
 
-    private HoldingSizer sizer() {
-        return largeFleet.getAsBoolean() ? LARGE_FLEET : HoldingSizer.SMALL_FLEET;
+    /** Plans the final write of this process, which returns all free tokens. */
+    public synchronized PrepaidLedger planFullReturn(StoredLedger stored) {
+        applyBase(stored);
+        return writes.planFullReturn(stored);
     }
 
     private Optional<PrepaidAccount> account(String workspace) {
         return Optional.ofNullable(accounts.get(workspace));
     }
-
-    private PrepaidAccount requireAccount(String workspace) {
-        @Nullable PrepaidAccount a = accounts.get(workspace);
-        if (a == null) {
-            throw new IllegalStateException("Workspace \"" + workspace + "\" has no prepaid total.");
-        }
-        return a;
-    }
 }
--- a/core/src/test/java/io/hornbeamfield/core/prepaid/LargeFleetOutageTest.java
+++ b/core/src/test/java/io/hornbeamfield/core/prepaid/LargeFleetOutageTest.java
@@ -113,7 +113,7 @@
                 PrepaidHoldings h = new PrepaidHoldings(
                         clock, i + "/" + incarnation, () -> HOLDERS, () -> holds, () -> largeFleetPolicy);
                 h.updateTotals(List.of(new WorkspaceAccess("plots", Set.of(), Optional.empty(), Optional.of(TOTAL))));
-                h.applyLedger(ledger, revision);
+                h.applyLedger(StoredLedger.atRevision(ledger, revision));
                 instances.add(h);
             }
         }
@@ -193,11 +193,11 @@
         }
 
         private void write(PrepaidHoldings h) {
-            h.applyLedger(ledger, revision);
-            h.planWrite(ledger, revision, List.of()).ifPresent(next -> {
+            h.applyLedger(StoredLedger.atRevision(ledger, revision));
+            h.planWrite(StoredLedger.atRevision(ledger, revision), List.of()).ifPresent(next -> {
                 ledger = next;
                 revision++;
-                h.applyLedger(ledger, revision);
+                h.applyLedger(StoredLedger.atRevision(ledger, revision));
             });
         }
     }
--- a/core/src/test/java/io/hornbeamfield/core/prepaid/PrepaidFleetSearchTest.java
+++ b/core/src/test/java/io/hornbeamfield/core/prepaid/PrepaidFleetSearchTest.java
@@ -204,26 +204,23 @@
                 total += 1_000;
                 nodes.forEach(n -> n.configure(total));
             } else if (choice < 98) {
-                node.holdings.applyLedger(ledger, revision);
-                node.revision = revision;
-                node.seen = ledger;
+                node.read();
             } else {
                 leave(node);
             }
         }
 
         private void write(Node node) {
-            Optional<PrepaidLedger> next = node.holdings.planWrite(node.seen, node.revision, node.ended());
+            Optional<PrepaidLedger> next =
+                    node.holdings.planWrite(StoredLedger.atRevision(node.seen, node.revision), node.ended());
             next.ifPresent(n -> send(node, n, Optional.empty()));
         }
 
         private void leave(Node node) {
             if (!failures) {
-                node.holdings.applyLedger(ledger, revision);
-                node.revision = revision;
-                node.seen = ledger;
+                node.read();
             }
-            PrepaidLedger next = node.holdings.planFullReturn(node.seen, node.revision);
+            PrepaidLedger next = node.holdings.planFullReturn(StoredLedger.atRevision(node.seen, node.revision));
             send(node, next, Optional.of(node.holdings.holder()));
             nodes.set(node.index, start(node.index));
         }
@@ -236,19 +233,16 @@
                 long taken = next.takenBy(WORKSPACE, holder) - node.seen.takenBy(WORKSPACE, holder);
                 node.holdings.receiveTransfer(WORKSPACE, Math.max(0, taken));
             }
-            if (fate == 0) {
-                return;
-            }
             if (fate == 1) {
                 late.add(new LateWrite(next, node.revision, leaving));
+            }
+            if (fate <= 1) {
                 return;
             }
             boolean applied = apply(next, node.revision, leaving);
             boolean answered = fate != 2;
             if (answered) {
-                node.revision = revision;
-                node.seen = ledger;
-                node.holdings.applyLedger(ledger, revision);
+                node.read();
             }
             if (!applied && !answered) {
                 node.revision = 0;
@@ -296,6 +290,12 @@
                 this.holdings = holdings;
             }
 
+            void read() {
+                revision = Fleet.this.revision;
+                seen = ledger;
+                holdings.applyLedger(StoredLedger.atRevision(seen, revision));
+            }
+
             void configure(long tokens) {
                 holdings.updateTotals(
                         List.of(new WorkspaceAccess(WORKSPACE, Set.of(), Optional.empty(), Optional.of(tokens))));
--- a/core/src/test/java/io/hornbeamfield/core/prepaid/PrepaidHoldingsTest.java
+++ b/core/src/test/java/io/hornbeamfield/core/prepaid/PrepaidHoldingsTest.java
@@ -26,11 +26,11 @@
     }
 
     private boolean write() {
-        Optional<PrepaidLedger> next = holdings.planWrite(ledger, revision, List.of());
+        Optional<PrepaidLedger> next = holdings.planWrite(StoredLedger.atRevision(ledger, revision), List.of());
         next.ifPresent(n -> {
             ledger = n;
             revision++;
-            holdings.applyLedger(ledger, revision);
+            holdings.applyLedger(StoredLedger.atRevision(ledger, revision));
         });
         return next.isPresent();
     }
@@ -39,7 +39,8 @@
     void nothingIsSpentBeforeTheStoreHasConfirmedTheTake() {
         total(1_000_000);
         assertThat(holdings.tryReserve("plots", 100)).isFalse();
-        assertThat(holdings.planWrite(ledger, revision, List.of())).isPresent();
+        assertThat(holdings.planWrite(StoredLedger.atRevision(ledger, revision), List.of()))
+                .isPresent();
         assertThat(holdings.tryReserve("plots", 100)).isFalse();
     }
 
@@ -47,7 +48,7 @@
     @Test
     void aSteadyWorkspaceIsServedThroughAnOutageOfNineSeconds() {
         total(3_000_000);
-        holdings.applyLedger(ledger, revision);
+        holdings.applyLedger(StoredLedger.atRevision(ledger, revision));
         for (int i = 0; i < 40; i++) {
             clock.advance(Duration.ofMillis(250));
             write();
@@ -72,7 +73,7 @@
     void anIdleInstanceDoesNotWriteRepeatedlyNearTheEndOfATotal() {
         total(100_000);
         ledger = ledger.with("plots", "b/1", 93_000);
-        holdings.applyLedger(ledger, revision);
+        holdings.applyLedger(StoredLedger.atRevision(ledger, revision));
         holdings.startWaiting("plots", 2_000);
         write();
         holdings.stopWaiting("plots", 2_000);
@@ -95,7 +96,7 @@
             PrepaidHoldingsTest fixture = new PrepaidHoldingsTest();
             fixture.total(1_000_000);
             fixture.ledger = fixture.ledger.with("plots", "b/1", taken);
-            fixture.holdings.applyLedger(fixture.ledger, fixture.revision);
+            fixture.holdings.applyLedger(StoredLedger.atRevision(fixture.ledger, fixture.revision));
             for (int i = 0; i < 10; i++) {
                 fixture.clock.advance(Duration.ofMillis(500));
                 fixture.holdings.startWaiting("plots", 4_000);
@@ -117,7 +118,7 @@
     void theLastTokensOfATotalGoToARequestThatTheyCover() {
         total(100_000);
         ledger = ledger.with("plots", "b/1", 99_000);
-        holdings.applyLedger(ledger, revision);
+        holdings.applyLedger(StoredLedger.atRevision(ledger, revision));
         holdings.startWaiting("plots", 1_000);
         write();
         assertThat(holdings.tryReserve("plots", 1_000)).isTrue();
@@ -127,9 +128,10 @@
     void tokensTakenByAnEndedIncarnationStayTaken() {
         total(100_000);
         ledger = ledger.with("plots", "a/0", 60_000);
-        holdings.applyLedger(ledger, revision);
+        holdings.applyLedger(StoredLedger.atRevision(ledger, revision));
         holdings.startWaiting("plots", 50_000);
-        assertThat(holdings.planWrite(ledger, revision, List.of(new EndedHolder("a/0", Optional.empty()))))
+        assertThat(holdings.planWrite(
+                        StoredLedger.atRevision(ledger, revision), List.of(new EndedHolder("a/0", Optional.empty()))))
                 .hasValueSatisfying(l -> assertThat(l.totalTaken("plots")).isEqualTo(60_000));
         assertThat(ledger.fold(List.of(new EndedHolder("a/0", Optional.empty())))
                         .totalTaken("plots"))
@@ -159,10 +161,11 @@
     void whatAnEndedIncarnationDidNotUseIsFreeAgainWhenAWitnessKnowsItsLimit() {
         total(100_000);
         ledger = ledger.with("plots", "a/0", 60_000).withWitnesses("a/0", Set.of("b/1"));
-        holdings.applyLedger(ledger, revision);
+        holdings.applyLedger(StoredLedger.atRevision(ledger, revision));
         holdings.startWaiting("plots", 50_000);
         EndedHolder ended = new EndedHolder("a/0", Optional.of(Map.of("plots", 10_000L)));
-        ledger = holdings.planWrite(ledger, revision, List.of(ended)).orElseThrow();
+        ledger = holdings.planWrite(StoredLedger.atRevision(ledger, revision), List.of(ended))
+                .orElseThrow();
         assertThat(ledger.takenBy("plots", PrepaidLedger.ENDED)).isEqualTo(10_000);
         assertThat(ledger.witnessesOf("a/0")).isEmpty();
     }
@@ -217,7 +220,7 @@
     void aNonHolderGetsAllTokensOfARequestOrNone() {
         total(1_000_000);
         ledger = ledger.with("plots", "a/1", 5_000);
-        holdings.applyLedger(ledger, revision);
+        holdings.applyLedger(StoredLedger.atRevision(ledger, revision));
         assertThat(holdings.transferForUse("plots", 6_000)).isZero();
         assertThat(holdings.transferForUse("plots", 4_000)).isEqualTo(4_000);
         assertThat(holdings.transferForUse("plots", 4_000)).isZero();
@@ -233,12 +236,12 @@
         PrepaidHoldings large = new PrepaidHoldings(clock, "a/1", () -> 86);
         large.updateTotals(
                 List.of(new WorkspaceAccess("plots", Set.of("k"), Optional.empty(), Optional.of(4_000_000L))));
-        large.applyLedger(ledger.with("plots", "a/1", 9_000), 1);
+        large.applyLedger(StoredLedger.atRevision(ledger.with("plots", "a/1", 9_000), 1));
         large.recordAcknowledgement("b/1", large.proposedLimits());
         large.chooseWitnesses(Set.of("b/1"));
-        ledger = large.planWrite(ledger.with("plots", "a/1", 9_000), 1, List.of())
+        ledger = large.planWrite(StoredLedger.atRevision(ledger.with("plots", "a/1", 9_000), 1), List.of())
                 .orElseThrow();
-        large.applyLedger(ledger, 2);
+        large.applyLedger(StoredLedger.atRevision(ledger, 2));
         for (int i = 0; i < 8; i++) {
             clock.advance(Duration.ofSeconds(3));
             assertThat(large.tryReserve("plots", 900)).as("request %d", i).isTrue();
@@ -266,11 +269,11 @@
         write();
         long free = holdings.freeTokens().get("plots");
         assertThat(free).isPositive();
-        holdings.planFullReturn(ledger, revision);
+        holdings.planFullReturn(StoredLedger.atRevision(ledger, revision));
         assertThat(holdings.freeTokens().get("plots")).isZero();
-        holdings.applyLedger(ledger, revision);
+        holdings.applyLedger(StoredLedger.atRevision(ledger, revision));
         assertThat(holdings.freeTokens().get("plots")).isZero();
-        holdings.applyLedger(ledger, revision + 1);
+        holdings.applyLedger(StoredLedger.atRevision(ledger, revision + 1));
         assertThat(holdings.freeTokens().get("plots")).isEqualTo(free);
     }
 
--- a/core/src/test/java/io/hornbeamfield/core/prepaid/PrepaidOrderSearchTest.java
+++ b/core/src/test/java/io/hornbeamfield/core/prepaid/PrepaidOrderSearchTest.java
@@ -231,7 +231,7 @@
         private void observe(PrepaidLedger ledger, long revision) {
             observed = Optional.of(ledger);
             observedRevision = revision;
-            holdings.applyLedger(ledger, revision);
+            holdings.applyLedger(StoredLedger.atRevision(ledger, revision));
         }
 
         /** A witness answers, a lost message of another instance arrives, and the routine check of writes runs. */
@@ -244,7 +244,7 @@
         private void write(String workspace, Event event) {
             holdings.startWaiting(workspace, REQUEST);
             holdings.allowDirectTake(workspace);
-            observed.flatMap(base -> holdings.planWrite(base, observedRevision, List.of()))
+            observed.flatMap(base -> holdings.planWrite(StoredLedger.atRevision(base, observedRevision), List.of()))
                     .ifPresent(next -> send(next, event));
             holdings.stopWaiting(workspace, REQUEST);
         }
--- a/entry/src/main/java/io/hornbeamfield/entry/control/ControlPlane.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/ControlPlane.java
@@ -170,14 +170,20 @@
                 clock, blackboard, book, log, () -> prepaid().tick(), regionsDeclared);
     }
 
-    private static StoreClient storeClient(EntrySettings settings, HttpClient http, StoreCalls calls, EventLog log) {
+    private StoreClient storeClient(EntrySettings settings, HttpClient http, StoreCalls calls, EventLog log) {
         // A list that is given up has to arrive from its start again.
         Duration listTimeout = Duration.ofMillis(settings.storeContactMs());
         StoreClient store = new StoreClient(http, settings.storeAddress(), STORE_TIMEOUT, listTimeout, calls);
-        store.onNewEra(era -> log.event("store-restored").field("era", era).write());
+        store.onNewEra(era -> onNewEra(era, log));
         return store;
     }
 
+    private void onNewEra(long era, EventLog log) {
+        log.event("store-restored").field("era", era).write();
+        // The ledger must be declared before an instance that starts now takes tokens on the basis of it.
+        executor.execute(() -> LoggedTask.run("Reading the restored ledger", prepaid::tick));
+    }
+
     private static Member self(EntrySettings settings) {
         return new Member(
                         settings.instance(),
--- a/entry/src/main/java/io/hornbeamfield/entry/control/PeerTransfers.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/PeerTransfers.java
@@ -1,6 +1,7 @@
 package io.hornbeamfield.entry.control;
 
 import io.hornbeamfield.core.config.ServerState;
+import io.hornbeamfield.core.prepaid.LedgerPeers;
 import io.hornbeamfield.core.prepaid.PrepaidHoldings;
 import io.hornbeamfield.core.route.RouteConfig;
 import io.hornbeamfield.entry.Blackboard;
@@ -33,7 +34,7 @@
  * Transfers prepaid tokens between instances while the store is unavailable or the total is used up. For waiting
  * requests the linked instances are asked one after another. All state is confined to the control thread.
  */
-final class PeerTransfers implements PeerListener, AutoCloseable {
+final class PeerTransfers implements PeerListener, LedgerPeers, AutoCloseable {
     /** A few times the round-trip time between two availability zones. */
     private static final long REPLY_TIMEOUT_MS = 25;
 
@@ -90,6 +91,17 @@
                 .maxLinks(MAX_LINKS)
                 .start();
         this.witnesses = new Witnesses(clock, book, control, log, transport::links, this::canWitness, onWitnessReply);
+        book.usePeers(this);
+    }
+
+    @Override
+    public Set<String> linkedHolders() {
+        return linksToLedgerWriters().stream().map(l -> l.peer().incarnation()).collect(Collectors.toSet());
+    }
+
+    @Override
+    public Map<String, Long> witnessedLimits(String holder) {
+        return witnesses.limitsOf(holder);
     }
 
     /** The usage of an instance without holdings is known to the instances that granted its tokens. */
--- a/entry/src/main/java/io/hornbeamfield/entry/control/PrepaidController.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/PrepaidController.java
@@ -5,8 +5,8 @@
 import io.hornbeamfield.core.prepaid.PrepaidHoldings;
 import io.hornbeamfield.core.prepaid.PrepaidLedger;
 import io.hornbeamfield.core.prepaid.RetryAfter;
+import io.hornbeamfield.core.prepaid.StoredLedger;
 import io.hornbeamfield.entry.EventLog;
-import io.hornbeamfield.net.json.Json;
 import io.hornbeamfield.platform.StoreClient;
 import io.hornbeamfield.platform.StoreObject;
 import io.hornbeamfield.platform.WriteResult;
@@ -47,6 +47,9 @@
      */
     private static final long OBSERVATION_VALID_MS = 1_000;
 
+    /** Interval at which the ledger is read while holders declare what a restored ledger may lack. */
+    private static final long DECLARATIONS_READ_MS = 250;
+
     /** Receives events about the tokens that waiting requests need. */
     interface TokenListener {
         /** This instance may hold more tokens than before. */
@@ -99,6 +102,7 @@
 
     /** Queries witnesses of ended holders, and reads or writes the ledger if that is due. */
     void tick() {
+        forgetOutdatedLedger();
         StoreObject object = lastObserved;
         if (object != null) {
             PrepaidLedger ledger = decodeLedger(object);
@@ -113,6 +117,19 @@
         }
     }
 
+    /** Lets the ledger be read again if the store came back from an older copy, or others change it meanwhile. */
+    private void forgetOutdatedLedger() {
+        StoreObject object = lastObserved;
+        if (object == null || writeInProgress) {
+            return;
+        }
+        boolean restored = object.revision().generation() != store.generation();
+        boolean beingDeclared = !book.isLedgerSettled() && clock.millis() - observedAtMs >= DECLARATIONS_READ_MS;
+        if (restored || beingDeclared) {
+            lastObserved = null;
+        }
+    }
+
     /** Acquires tokens for the waiting requests of a workspace. */
     void requestTokens(String workspace) {
         long missing = book.shortfall(workspace);
@@ -235,13 +252,14 @@
     }
 
     private void create() {
-        store.create(KIND, NAME, Json.tree(PrepaidLedger.empty())).whenCompleteAsync(this::onWritten, control);
+        store.create(KIND, NAME, LedgerJson.write(book.planCreation(store.era())))
+                .whenCompleteAsync(this::onWritten, control);
     }
 
     private void write(StoreObject object) {
         PrepaidLedger ledger = decodeLedger(object);
         Collection<EndedHolder> ended = peers().witnesses().endedHolders(ledger);
-        Optional<PrepaidLedger> next = book.planWrite(ledger, object.revision().number(), ended);
+        Optional<PrepaidLedger> next = book.planWrite(stored(ledger, object), ended);
         if (next.isEmpty()) {
             writeInProgress = false;
             tokenListener.holdingsChanged();
@@ -253,7 +271,8 @@
                     .field("revision", object.revision().number())
                     .write();
         }
-        store.replace(KIND, NAME, object.revision(), Json.tree(next.get())).whenCompleteAsync(this::onWritten, control);
+        store.replace(KIND, NAME, object.revision(), LedgerJson.write(next.get()))
+                .whenCompleteAsync(this::onWritten, control);
     }
 
     private void onWritten(@Nullable WriteResult reply, @Nullable Throwable failure) {
@@ -263,6 +282,7 @@
             observe(s.object());
             log.event("prepaid-written")
                     .field("revision", s.object().revision().number())
+                    .field("era", store.era())
                     .field("totalUntakenHeld", book.summary())
                     .write();
             backoff.afterWrite();
@@ -320,11 +340,26 @@
         }
         lastObserved = object;
         observedAtMs = clock.millis();
-        book.applyLedger(ledger, object.revision().number());
+        boolean wasSettled = book.isLedgerSettled();
+        StoredLedger stored = stored(ledger, object);
+        book.applyLedger(stored);
+        if (book.isLedgerSettled() != wasSettled) {
+            log.event(wasSettled ? "prepaid-ledger-restored" : "prepaid-ledger-settled")
+                    .field("revision", object.revision().number())
+                    .field("era", stored.era())
+                    .field("ledgerEra", ledger.era())
+                    .field("undeclared", ledger.undeclared().size())
+                    .field("totalUntakenHeld", book.summary())
+                    .write();
+        }
+    }
+
+    private StoredLedger stored(PrepaidLedger ledger, StoreObject object) {
+        return new StoredLedger(ledger, object.revision(), store.era());
     }
 
     private static PrepaidLedger decodeLedger(StoreObject object) {
-        return Json.read(object.content(), PrepaidLedger.class);
+        return LedgerJson.read(object.content());
     }
 
     /** Returns all unused tokens to the ledger at shutdown, then runs an action. */
@@ -335,9 +370,8 @@
             return;
         }
         writeInProgress = true;
-        PrepaidLedger next =
-                book.planFullReturn(decodeLedger(object), object.revision().number());
-        store.replace(KIND, NAME, object.revision(), Json.tree(next))
+        PrepaidLedger next = book.planFullReturn(stored(decodeLedger(object), object));
+        store.replace(KIND, NAME, object.revision(), LedgerJson.write(next))
                 .whenCompleteAsync(
                         (reply, failure) -> {
                             if (reply instanceof WriteResult.Conflict c
--- a/entry/src/main/java/io/hornbeamfield/entry/control/Witnesses.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/Witnesses.java
@@ -221,6 +221,11 @@
         }
     }
 
+    /** Returns the limits by workspace that this instance has recorded for a holder. */
+    Map<String, Long> limitsOf(String holder) {
+        return limitsByHolder.getOrDefault(holder, Map.of());
+    }
+
     /** Queries the linked witnesses of ended holders that have not replied yet. */
     void queryWitnesses(PrepaidLedger ledger, Collection<String> endedHolders) {
         Map<String, PeerLink> linked = linksByIncarnation();
--- a/entry/src/test/java/io/hornbeamfield/entry/PrepaidStartTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/PrepaidStartTest.java
@@ -4,6 +4,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.hornbeamfield.core.prepaid.PrepaidLedger;
+import io.hornbeamfield.entry.control.LedgerJson;
 import io.hornbeamfield.net.json.Json;
 import io.hornbeamfield.platform.standin.FakeBackendServer;
 import java.util.concurrent.TimeUnit;
@@ -35,12 +36,13 @@
     }
 
     private void putLedger(long taken) {
-        fleet.store.put("prepaid", "ledger", Json.tree(PrepaidLedger.empty().with("plots", OTHER_HOLDER, taken)));
+        fleet.store.put(
+                "prepaid", "ledger", LedgerJson.write(PrepaidLedger.empty().with("plots", OTHER_HOLDER, taken)));
     }
 
     private long taken() {
         JsonNode ledger = fleet.store.content("prepaid", "ledger");
-        return Json.read(ledger, PrepaidLedger.class).totalTaken("plots");
+        return LedgerJson.read(ledger).totalTaken("plots");
     }
 
     private int call() {
--- a/entry/src/test/java/io/hornbeamfield/entry/RestoredStoreSoakTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/RestoredStoreSoakTest.java
@@ -26,6 +26,11 @@
     private static final long SEED = Long.getLong("entry.seed", 1);
     private static final long LENGTH_MS = Long.getLong("entry.soakMs", 15_000);
     private static final int DAEMONS = 3;
+    private static final long PLENTIFUL_TOTAL = 1_000_000;
+
+    /** Used up within a run. */
+    private static final long SMALL_TOTAL = 1_500;
+
     private static final long COPY_EVERY_MS = 200;
     private static final int OLDEST_COPY = 20;
 
@@ -124,7 +129,7 @@
         }
     }
 
-    private void play() throws InterruptedException {
+    private void runSteps() throws InterruptedException {
         long start = System.nanoTime();
         while (!steps.isEmpty()) {
             Step step = steps.poll();
@@ -139,6 +144,17 @@
 
     @Test
     void restoresAmongKillsStopsFreezesAndSilencesBreakNoPromise() throws InterruptedException {
+        play(PLENTIFUL_TOTAL);
+    }
+
+    /** Guards against tokens that are taken again because a copy does not show who has taken them. */
+    @Test
+    void restoresAmongKillsStopsFreezesAndSilencesSpendNoTotalTwice() throws InterruptedException {
+        play(SMALL_TOTAL);
+    }
+
+    private void play(long total) throws InterruptedException {
+        fleet.prepaid(total);
         try (SoakDaemons daemons = new SoakDaemons(directory);
                 SoakTraffic traffic = new SoakTraffic(daemons.all())) {
             startServers(traffic);
@@ -151,11 +167,13 @@
             planStore();
             daemons.all().forEach(this::planDaemon);
             traffic.start(new Random(SEED));
-            play();
+            runSteps();
             daemons.awaitReady();
             List<String> violations = traffic.stopAndJudge();
-            System.out.println("seed " + SEED + ": " + restores + " restores, " + traffic.served());
+            System.out.println("seed " + SEED + ": " + restores + " restores, " + traffic.served() + ", tokens "
+                    + traffic.usedTokens() + " of " + total);
             assertThat(violations).as("seed %d: %s", SEED, played).isEmpty();
+            assertThat(traffic.usedTokens()).as("seed %d: %s", SEED, played).isLessThanOrEqualTo(total);
             assertThat(traffic.served()).containsKeys("read 200", "write 200", "whole streams");
             assertEachFollowsTheOperator(daemons);
         }
--- a/entry/src/test/java/io/hornbeamfield/entry/SoakTraffic.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/SoakTraffic.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.regex.MatchResult;
 import java.util.regex.Pattern;
 
@@ -24,6 +25,8 @@
     private static final int EVENTS = 4;
     private static final int TRIES = 3;
     private static final long EVENT_MS = 20;
+    private static final int PROMPT_TOKENS = 10;
+    private static final String TOKENS = "X-Token-Counts: " + PROMPT_TOKENS + ",10";
     private static final Pattern EVENT = Pattern.compile("id: (\\d+)\ndata: (\\S+) by <([^>]+)>\n\n");
 
     private static final Pattern CODE = Pattern.compile("\"code\":(\\d+)");
@@ -35,6 +38,7 @@
     private final AtomicInteger requests = new AtomicInteger();
     private final List<Thread> callers = new ArrayList<>();
     private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(2);
+    private final AtomicLong usedTokens = new AtomicLong();
     private volatile boolean running = true;
 
     SoakTraffic(List<SoakDaemons.Daemon> daemons) {
@@ -123,8 +127,8 @@
     private Answer send(Random random, String method, String path, String... more) {
         SoakDaemons.Daemon daemon = daemons.get(next(random, daemons.size()));
         long kills = daemon.kills();
-        List<String> headers = new ArrayList<>(
-                List.of(EntryFixture.KEY, "X-Attempt-Id: " + path, EntryFixture.DEADLINE, "X-Token-Counts: 10,10"));
+        List<String> headers =
+                new ArrayList<>(List.of(EntryFixture.KEY, "X-Attempt-Id: " + path, EntryFixture.DEADLINE));
         headers.addAll(List.of(more));
         try (Caller caller = Caller.send(daemon.address(), method, path, headers.toArray(String[]::new))) {
             ReceivedAnswer answer = ReceivedAnswer.of(caller.all());
@@ -188,12 +192,13 @@
         for (int i = 0; i < TRIES && !whole; i++) {
             String path = id + "-" + i;
             Answer answer = events.isEmpty()
-                    ? send(random, "POST", path)
-                    : send(random, "POST", path, "Resumes: " + begunBy, "Last-Event-Id: " + events.size());
+                    ? send(random, "POST", path, TOKENS)
+                    : send(random, "POST", path, TOKENS, "Resumes: " + begunBy, "Last-Event-Id: " + events.size());
             ReceivedAnswer a = answer.received();
             judgeNotRun(path, a);
             if (a.status() == 200) {
                 List<MatchResult> more = EVENT.matcher(a.body()).results().toList();
+                usedTokens.addAndGet(PROMPT_TOKENS + more.size());
                 if (events.isEmpty() && !more.isEmpty()) {
                     begunBy = path;
                 }
@@ -230,6 +235,11 @@
         return served;
     }
 
+    /** Returns the prepaid tokens that the streams which callers received have used at least. */
+    long usedTokens() {
+        return usedTokens.get();
+    }
+
     /** Ends the callers and returns what broke a promise. */
     List<String> stopAndJudge() {
         running = false;
--- a/entry/src/test/java/io/hornbeamfield/entry/control/WitnessesTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/control/WitnessesTest.java
@@ -4,6 +4,7 @@
 
 import io.hornbeamfield.core.prepaid.PrepaidHoldings;
 import io.hornbeamfield.core.prepaid.PrepaidLedger;
+import io.hornbeamfield.core.prepaid.StoredLedger;
 import io.hornbeamfield.core.route.WorkspaceAccess;
 import io.hornbeamfield.core.time.ManualClock;
 import io.hornbeamfield.entry.EventLog;
@@ -82,9 +83,9 @@
         List<WorkspaceAccess> access = new ArrayList<>();
         workspaces.forEach(w -> access.add(new WorkspaceAccess(w, Set.of(), Optional.empty(), Optional.of(100_000L))));
         book.updateTotals(access);
-        PrepaidLedger ledger =
-                book.planWrite(PrepaidLedger.empty(), 1, List.of()).orElseThrow();
-        book.applyLedger(ledger.withWitnesses("self/1", Set.of("w/1")), 2);
+        PrepaidLedger ledger = book.planWrite(StoredLedger.atRevision(PrepaidLedger.empty(), 1), List.of())
+                .orElseThrow();
+        book.applyLedger(StoredLedger.atRevision(ledger.withWitnesses("self/1", Set.of("w/1")), 2));
         book.recordAcknowledgement("w/1", Map.of());
         workspaces.forEach(w -> book.startWaiting(w, 100));
         return book;
