Give the inclusion of a known ledger a method of its own

Cause: declare() named a comparison "newer" and mixed three cases. Change: includeKnown(); no behaviour changes.

--- a/core/src/main/java/io/hornbeamfield/core/prepaid/LedgerDeclarations.java
+++ b/core/src/main/java/io/hornbeamfield/core/prepaid/LedgerDeclarations.java
@@ -117,12 +117,8 @@
     PrepaidLedger declare(StoredLedger stored) {
         PrepaidLedger next = stored.isOfCurrentEra() ? stored.ledger() : beginEra(stored);
         StoredLedger known = confirmed;
-        int newer = known == null ? -1 : known.version().compareTo(next.basisOrNone());
-        if (known != null && newer > 0) {
-            next = next.isComplete() ? addLate(next, known) : adopt(next, known);
-        } else if (known != null && newer == 0) {
-            // The basis may be a late write under the same revision, which was given out again.
-            next = raise(next, next.undeclared(), known.ledger()::takenBy);
+        if (known != null) {
+            next = includeKnown(next, known);
         }
         next = raise(next, next.undeclared(), peers::witnessedLimits);
         PrepaidLedger own = known == null ? PrepaidLedger.empty() : known.ledger();
@@ -134,6 +130,15 @@
                 .ofEra(stored.era());
     }
 
+    private PrepaidLedger includeKnown(PrepaidLedger ledger, StoredLedger known) {
+        int comparison = known.version().compareTo(ledger.basisOrNone());
+        if (comparison > 0) {
+            return ledger.isComplete() ? addLate(ledger, known) : adopt(ledger, known);
+        }
+        // The basis may be a late write under the same revision, which was given out again.
+        return comparison == 0 ? raise(ledger, ledger.undeclared(), known.ledger()::takenBy) : ledger;
+    }
+
     /**
      * Returns the ledger to create in a store that has none. A store that has come back from a copy may have lost the
      * first ledger, so that holders are awaited that it cannot name.
