--- a/entry/src/test/java/io/hornbeamfield/entry/RestoredStoreTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/RestoredStoreTest.java
@@ -39,6 +39,10 @@
     }
 
     private void startServing() {
+        startServing(EventLog.none());
+    }
+
+    private void startServing(EventLog log) {
         // Requests wait for tokens during half of the objective.
         fleet.objectiveMs(4_000);
         FakeBackendServer server = fleet.runner("i-1", "model");
@@ -48,8 +52,9 @@
             r.end();
         });
         fleet.configure(1);
-        fleet.startReady();
-        EntryFixture.await(() -> fleet.entries.get(0).blackboard().membersKnown());
+        EntryProcess entry = fleet.start(log);
+        EntryFixture.await(
+                () -> entry.blackboard().ready() && entry.blackboard().membersKnown());
     }
 
     private int serve(int entry, int requests) {
@@ -156,6 +161,19 @@
         assertThat(served * USED).isLessThanOrEqualTo(TOTAL);
     }
 
+    @Test
+    void theLogTellsFromWhenUntilWhenNoTokensAreTaken() {
+        ObservedLog log = new ObservedLog(line -> {});
+        startServing(log);
+        FakeStore.Copy copy = fleet.store.copy();
+        assertThat(serve(0, 1)).isEqualTo(1);
+        fleet.store.restore(copy);
+        EntryFixture.await(() -> log.lines().stream()
+                .anyMatch(l -> l.contains("\"prepaid-ledger-settled\"") && l.contains("\"era\":2")));
+        assertThat(log.lines())
+                .anyMatch(l -> l.contains("\"prepaid-ledger-restored\"") && l.contains("\"ledgerEra\":1"));
+    }
+
     /** Guards against instances that are not named to callers until they have registered again. */
     @Test
     void instancesWhoseRegistrationsAreLostStayMembers() throws InterruptedException {
