Let an answer that the history is gone confirm no configuration

Cause: a watch that the store answers with 410 counted as an answer of age 0, which confirms the configuration in force; the list that follows may take seconds on a full link. The same held for watches that a restore of the store ends. Change: such an answer only shows that the store answers. What listeners learn comes with the list. Result: StoreWatcherTest.anAnswerThatTheHistoryIsGoneConfirmsNothing fails before ([0] where nothing is expected) and passes; StaleRefusalTest, LateConfigurationLogTest, ZoneEvacuationTest and StoreOutageCallsTest pass.

--- a/entry/src/main/java/io/hornbeamfield/entry/control/StoreWatcher.java
+++ b/entry/src/main/java/io/hornbeamfield/entry/control/StoreWatcher.java
@@ -106,7 +106,8 @@
             long debounceMs = c.changes().isEmpty() ? 0 : pacing.changeDebounceMs();
             control.schedule(() -> watch(c.revision()), debounceMs, TimeUnit.MILLISECONDS);
         } else if (reply instanceof WatchResult.HistoryGone) {
-            onSuccess(0);
+            // The store answers, but this answer does not show its current objects.
+            onAnswer();
             log.event("store-history-gone")
                     .field("kind", kind)
                     .field("revision", revision.number())
@@ -143,6 +144,11 @@
     }
 
     private void onSuccess(long ageMs) {
+        onAnswer();
+        listener.onStoreRecovered(ageMs);
+    }
+
+    private void onAnswer() {
         if (pacing.consecutiveFailures() > 0) {
             log.event("store-returned")
                     .field("kind", kind)
@@ -150,6 +156,5 @@
                     .write();
         }
         pacing.succeeded();
-        listener.onStoreRecovered(ageMs);
     }
 }
--- a/entry/src/test/java/io/hornbeamfield/entry/control/StoreWatcherTest.java
+++ b/entry/src/test/java/io/hornbeamfield/entry/control/StoreWatcherTest.java
@@ -49,6 +49,7 @@
     private HttpServer server;
     private volatile boolean listIsSlow;
     private volatile boolean listStalls;
+    private volatile boolean historyIsGone;
 
     @BeforeEach
     void start() throws IOException {
@@ -75,12 +76,17 @@
             if (listIsSlow) {
                 writeSpaces(exchange);
             }
-            if (!listStalls) {
+            if (!listStalls && !(historyIsGone && lists.get() > 1)) {
                 exchange.getResponseBody().write(body);
                 exchange.close();
             }
             return;
         }
+        if (historyIsGone) {
+            exchange.sendResponseHeaders(410, -1);
+            exchange.close();
+            return;
+        }
         exchange.sendResponseHeaders(200, 0);
         try {
             while (true) {
@@ -175,6 +181,18 @@
         assertThat(ages.poll(10, TimeUnit.SECONDS)).isBetween(arrivalMs, arrivalMs + LIST_TIMEOUT.toMillis());
     }
 
+    /** Guards against a final refusal by a configuration that the store has not shown to be the current one. */
+    @Test
+    void anAnswerThatTheHistoryIsGoneConfirmsNothing() throws InterruptedException {
+        historyIsGone = true;
+        startWatcher();
+        assertThat(ages.poll(10, TimeUnit.SECONDS)).isNotNull();
+        while (lists.get() < 2) {
+            Thread.sleep(PART_PAUSE_MS);
+        }
+        assertThat(ages).isEmpty();
+    }
+
     @Test
     void aListThatStopsArrivingIsAskedForAgain() throws InterruptedException {
         listIsSlow = true;
