--- a/core/src/test/java/io/hornbeamfield/core/prepaid/RestoredLedgerSearchTest.java
+++ b/core/src/test/java/io/hornbeamfield/core/prepaid/RestoredLedgerSearchTest.java
@@ -18,6 +18,8 @@
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Runs random schedules in which the store comes back from older copies while instances take, spend, transfer and
@@ -56,6 +58,15 @@
         }
     }
 
+    /** An instance ends and the copy lacks its last take, which no other instance has read. */
+    @ParameterizedTest
+    @ValueSource(ints = {15_505, 25_402, 28_432})
+    void takesThatNobodyElseHasReadAreNotSpentTwice(int seed) {
+        Fleet fleet = new Fleet(seed);
+        fleet.run();
+        assertThat(fleet.gone()).isLessThanOrEqualTo(TOTAL);
+    }
+
     @Test
     void afterTheLastRestoreNearlyAllOfATotalCanBeSpent() {
         long left = 0;
@@ -85,7 +96,7 @@
 
     private record Copy(@Nullable PrepaidLedger ledger, long number, long revision) {}
 
-    private record LateWrite(Fleet.Node writer, PrepaidLedger next, long expected) {}
+    private record LateWrite(PrepaidLedger next, long expected) {}
 
     /** A fleet and the store with its ledger. */
     private static final class Fleet {
@@ -105,9 +116,6 @@
         private boolean faults = true;
         private boolean kills;
 
-        /** An instance has ended whose last write nobody has seen, so that a restore would lose what it has used. */
-        private boolean endedUnseen;
-
         private boolean noticesRestores = true;
 
         Fleet(int seed) {
@@ -152,13 +160,13 @@
                 restore();
             } else if (choice < 92 && random.nextInt(6) == 0) {
                 leave(node);
-            } else if (choice < 94 && random.nextInt(6) == 0 && kills && !node.unseen) {
+            } else if (choice < 94 && random.nextInt(6) == 0 && kills) {
                 end(node);
             }
         }
 
         private void restore() {
-            if (copies.isEmpty() || endedUnseen) {
+            if (copies.isEmpty()) {
                 return;
             }
             int age = random.nextInt(copies.size());
@@ -172,13 +180,10 @@
             era++;
         }
 
-        private boolean apply(Node writer, PrepaidLedger next, long expected) {
+        private boolean apply(PrepaidLedger next, long expected) {
             if (expected != number) {
                 return false;
             }
-            ledgerSeenBy(writer);
-            writer.unseen = true;
-            writer.writtenInEra = era;
             copies.addFirst(new Copy(ledger, number, revision));
             if (copies.size() > OLDEST_COPY) {
                 copies.removeLast();
@@ -188,22 +193,15 @@
             return true;
         }
 
-        /** Records that an instance has seen all writes of this era. */
-        private void ledgerSeenBy(Node reader) {
-            nodes.stream().filter(n -> n != reader && n.writtenInEra == era).forEach(n -> n.unseen = false);
-            endedUnseen = false;
-        }
-
         private void applyLate() {
             if (!late.isEmpty()) {
                 LateWrite w = late.remove(random.nextInt(late.size()));
-                apply(w.writer(), w.next(), w.expected());
+                apply(w.next(), w.expected());
             }
         }
 
         private void end(Node node) {
             nodes.set(node.index, new Node(node.index));
-            endedUnseen |= node.unseen;
         }
 
         private void leave(Node node) {
@@ -212,9 +210,9 @@
                 PrepaidLedger next = node.holdings.planFullReturn(seen);
                 boolean returned = node.reaches()
                         && node.knownEra == era
-                        && apply(node, next, seen.revision().number());
+                        && apply(next, seen.revision().number());
                 // A return that does not arrive leaves the holder in the ledger, as a kill does.
-                if (returned || (kills && !node.unseen)) {
+                if (returned || kills) {
                     end(node);
                 } else {
                     node.seen = null;
@@ -232,11 +230,6 @@
             private long generation;
             private long withoutStoreUntilMs;
 
-            /** Nobody else has seen the last write of this instance. */
-            private boolean unseen;
-
-            private long writtenInEra;
-
             Node(int index) {
                 this.index = index;
                 holdings = new PrepaidHoldings(clock, index + "/" + incarnations++, () -> INSTANCES);
@@ -289,9 +282,6 @@
                 seen = ledger == null ? null : stored(ledger);
                 if (seen != null) {
                     holdings.applyLedger(seen);
-                    if (holdings.isLedgerSettled()) {
-                        ledgerSeenBy(this);
-                    }
                 }
             }
 
@@ -304,7 +294,7 @@
             private void create() {
                 PrepaidLedger next = holdings.planCreation(noticesRestores ? era : 0);
                 if (ledger == null && random.nextInt(5) > 0) {
-                    apply(this, next, number);
+                    apply(next, number);
                     read();
                 }
             }
@@ -325,11 +315,11 @@
                     return;
                 }
                 if (fate == 1) {
-                    late.add(new LateWrite(this, next, base.revision().number()));
+                    late.add(new LateWrite(next, base.revision().number()));
                     return;
                 }
                 boolean knew = knownEra == era;
-                boolean applied = apply(this, next, base.revision().number());
+                boolean applied = apply(next, base.revision().number());
                 noticeEra();
                 if (fate != 2 && applied && knew) {
                     seen = stored(next);
